Wait for the recorded lead before taking over

Change: an agent that reads a newer lead than it has heard of notes it, tells it its address and waits as for a lead that has just been heard.

--- /dev/null
+++ b/src/coordination/ranks/__tests__/lead-election.spec.ts
@@ -0,0 +1,80 @@
+import * as vitest from 'vitest'
+import * as clusterView from '../../../state/cluster-view.js'
+import * as leadElection from '../lead-election.js'
+import type * as controlStore from '../../../protocol/control-store.js'
+
+const { afterEach, beforeEach, expect, test, vi } = vitest
+
+const RANKS = 30
+/** Longer than an election listens, waits for the recorded lead and tries again. */
+const SETTLED_MS = 6_000
+
+let controller: AbortController
+let row: controlStore.StoredRow | undefined
+let taken: number[]
+
+beforeEach(() => {
+  vi.useFakeTimers()
+  controller = new AbortController()
+  row = undefined
+  taken = []
+  elections = new Map()
+})
+
+afterEach(() => {
+  controller.abort()
+  vi.useRealTimers()
+})
+
+const store: controlStore.ControlStore = {
+  list: async () => ({ kind: 'ok', value: { rows: row === undefined ? [] : [row], revision: row?.revision ?? 0 } }),
+  changes: async () => ({ kind: 'unavailable', reason: 'not used' }),
+  write: async ([write], [condition]) => {
+    if ((row?.revision ?? 0) !== condition!.revision) return { kind: 'conflict', rows: [] }
+    row = { ...write!, revision: condition!.revision + 1 }
+    return { kind: 'ok', value: row.revision }
+  }
+}
+
+let elections: Map<string, leadElection.LeadElection>
+
+/** An agent that has heard no other one; messages of a lead arrive from `hearsFromMs` on. */
+function startAgent (rank: number, hearsFromMs: number): void {
+  const address = `10.0.0.${rank}:7000`
+  elections.set(address, new leadElection.LeadElection({
+    runtime: {
+      nowMs: () => Date.now(),
+      random: () => rank / RANKS,
+      log: { emit: event => { if (event === 'mapLeadTaken') taken.push(rank) } },
+      metrics: {} as never
+    },
+    store,
+    peers: {
+      view: clusterView.createView(address),
+      broadcast: message => {
+        if (message.kind !== 'lead' || Date.now() < hearsFromMs) return
+        for (const other of elections.values()) other.noteLead(message.group, message.term, message.address)
+      }
+    },
+    address,
+    ownRank: () => ({ group: 'g', rank, address: '10.0.0.99:1' }),
+    signal: controller.signal
+  }))
+}
+
+test('agents that have not heard one another don\'t take the lead from each other', async () => {
+  const startMs = Date.now()
+  for (let rank = 0; rank < RANKS; rank++) startAgent(rank, startMs + 1_800)
+  await vi.advanceTimersByTimeAsync(SETTLED_MS)
+  expect(taken).toHaveLength(1)
+})
+
+test('a recorded lead that stays silent is replaced', async () => {
+  row = {
+    table: 't', partition: '', key: 'g', revision: 4, value: Buffer.from(JSON.stringify({ term: 7, address: '10.0.0.50:1' }))
+  }
+  startAgent(3, Infinity)
+  await vi.advanceTimersByTimeAsync(SETTLED_MS)
+  expect(taken).toEqual([3])
+  expect([...elections.values()].at(-1)!.term).toBe(8)
+})
--- a/src/coordination/ranks/lead-election.ts
+++ b/src/coordination/ranks/lead-election.ts
@@ -11,7 +11,7 @@
 export interface LeadElectionOptions {
   runtime: runtime.Runtime
   store: controlStore.ControlStore
-  peers: peerLinks.PeerLinks
+  peers: Pick<peerLinks.PeerLinks, 'view' | 'broadcast'>
   address: string
   /** Group and rank of the agent's own rank. */
   ownRank: () => clusterView.PeerRank | undefined
@@ -105,12 +105,34 @@
       .every(({ status: { rank } }) => rank === undefined || rank.group !== own.group || rank.rank > own.rank)
   }
 
+  /** Whether the store records a lead that this process has had no chance to hear. */
+  #isUnheard (recorded: RecordedLead | undefined): recorded is RecordedLead {
+    return recorded !== undefined && recorded.term > this.#highestTerm && recorded.address !== this.#options.address
+  }
+
+  /**
+   * Load pattern: the processes of a large group start together and have not all heard one another when the first one
+   * leads. Without this wait each of them would take the lead from the one before.
+   */
+  #awaitRecorded (recorded: RecordedLead): void {
+    const { runtime: { nowMs }, peers } = this.#options
+    this.#highestTerm = recorded.term
+    this.leadAddress = recorded.address
+    this.#leadHeardAtMs = nowMs()
+    clusterView.learnAddresses(peers.view, [recorded.address], nowMs())
+  }
+
   async #takeOver (group: string): Promise<void> {
     const { runtime: { log }, store, address, signal } = this.#options
     const listed = await store.list(TABLE, '', signal)
     if (listed.kind !== 'ok') return
     const row = listed.value.rows.find(candidate => candidate.key === group)
-    const term = Math.max(this.#highestTerm, leadOf(row?.value)?.term ?? 0) + 1
+    const recorded = leadOf(row?.value)
+    if (this.#isUnheard(recorded)) {
+      this.#awaitRecorded(recorded)
+      return
+    }
+    const term = Math.max(this.#highestTerm, recorded?.term ?? 0) + 1
     const written = await store.write(
       [{ table: TABLE, partition: '', key: group, value: Buffer.from(JSON.stringify({ term, address })) }],
       [{ table: TABLE, partition: '', key: group, revision: row?.revision ?? 0 }],
@@ -120,7 +142,7 @@
     if (written.kind !== 'ok') return
     this.#highestTerm = term
     this.term = term
-    this.earlier = leadOf(row?.value)
+    this.earlier = recorded
     this.leadAddress = address
     log.emit('mapLeadTaken', { group, term, before: row?.value?.toString('utf8') })
   }
