Tell peers in turns and send agents the configuration only

Cause: each process told each other one its status and forty addresses every 300 ms, and each agent told each entry its load ten times a second. With 104 processes that filled the agents' links: an agent heard 44 of 103 peers. Agents also fetched the list of backend servers, which they don't use, with each of its changes: 911 times in 25 s. Change: a status goes to 24 peers in turn and, from an entry, to all entries; addresses go to 6 of them; a load goes to 16 entries in turn. Any message shows that its sender lives, and how long silence is allowed follows from the turns. Agents fetch the configuration alone, at most every 5 s. Up to 24 peers nothing changes.

--- a/src/coordination/cluster/peer-links.ts
+++ b/src/coordination/cluster/peer-links.ts
@@ -5,12 +5,14 @@
 import * as dgram from 'node:dgram'
 import * as peerMessage from '../../protocol/peer-message.js'
 import * as clusterView from '../../state/cluster-view.js'
+import * as peerPace from '../../state/peer-pace.js'
 import type * as runtime from '../runtime.js'
 
 export interface PeerLinksOptions {
   runtime: runtime.Runtime
   /** IP address and port of this process for its peers. */
   address: string
+  role: clusterView.ProcessRole
   /** Addresses to begin with. */
   seeds: string[]
   status: () => clusterView.PeerStatus
@@ -23,6 +25,8 @@
   readonly #options: PeerLinksOptions
   readonly #socket = dgram.createSocket('udp4')
   #rotation = 0
+  #turn = 0
+  #loadTurn = 0
 
   constructor (options: PeerLinksOptions) {
     this.#options = options
@@ -33,7 +37,7 @@
   async open (): Promise<void> {
     const [host, port] = this.#options.address.split(':')
     const { signal, runtime: { log } } = this.#options
-    this.#socket.on('message', bytes => { this.#receive(bytes) })
+    this.#socket.on('message', (bytes, from) => { this.#receive(bytes, `${from.address}:${from.port}`) })
     await new Promise<void>((resolve, reject) => {
       this.#socket.once('error', reject)
       this.#socket.bind(Number(port), host, () => {
@@ -43,7 +47,7 @@
     })
     // A send to a host that is gone reports an error here; the peer counts as silent anyway.
     this.#socket.on('error', error => { log.emit('peerSendFailed', { reason: error.message }) })
-    const timer = setInterval(() => { this.tellPeers() }, clusterView.STATUS_INTERVAL_MS)
+    const timer = setInterval(() => { this.#tellInTurn() }, clusterView.STATUS_INTERVAL_MS)
     signal.addEventListener('abort', () => {
       clearInterval(timer)
       this.#socket.close()
@@ -51,18 +55,42 @@
     this.tellPeers()
   }
 
-  /** Sends this process's status to all peers now. */
+  /** Peers of a role that are not silent. */
+  alivePeers (role: clusterView.ProcessRole): clusterView.Peer[] {
+    const { role: self, runtime: { nowMs } } = this.#options
+    return clusterView.peersHeardSince(this.view, role, nowMs() - peerPace.silentAfterMs(this.view, self, role))
+  }
+
+  /** Sends this process's status to all entries, and to the other peers whose turn it is. */
   tellPeers (): void {
+    this.#tellInTurn()
+    if (this.#options.role === 'entry') {
+      this.broadcast({ kind: 'status', status: this.#options.status(), known: [] }, 'entry')
+    }
+  }
+
+  #tellInTurn (): void {
     clusterView.forgetSilent(this.view, this.#options.runtime.nowMs())
-    this.broadcast({ kind: 'status', status: this.#options.status(), known: this.#someKnown() }, undefined)
+    const { brief, gossip } = peerPace.statusTargets(this.view, this.#options.role, this.#turn++)
+    const status = this.#options.status()
+    this.#sendAll({ kind: 'status', status, known: [] }, brief)
+    this.#sendAll({ kind: 'status', status, known: this.#someKnown() }, gossip)
+  }
+
+  /** Tells the entries whose turn it is. */
+  tellLoad (message: peerMessage.PeerMessage): void {
+    const entries = this.alivePeers('entry').map(peer => peer.status.address)
+    this.#sendAll(message, peerPace.loadTargets(entries, this.#loadTurn++))
+  }
+
+  /** Sends to the peers of a role that are not silent. */
+  broadcast (message: peerMessage.PeerMessage, role: clusterView.ProcessRole): void {
+    this.#sendAll(message, this.alivePeers(role).map(peer => peer.status.address))
   }
 
-  /** @param role only to peers of this role that were heard; to all known addresses when undefined. */
-  broadcast (message: peerMessage.PeerMessage, role: clusterView.ProcessRole | undefined): void {
+  #sendAll (message: peerMessage.PeerMessage, addresses: readonly string[]): void {
+    if (addresses.length === 0) return
     const bytes = peerMessage.encodeMessage(message)
-    const addresses = role === undefined
-      ? [...this.view.known.keys()]
-      : clusterView.alivePeers(this.view, role, this.#options.runtime.nowMs()).map(peer => peer.status.address)
     for (const address of addresses) this.#send(bytes, address)
   }
 
@@ -85,9 +113,10 @@
     return [...all, ...all].slice(this.#rotation, this.#rotation + peerMessage.MAX_KNOWN_IN_MESSAGE)
   }
 
-  #receive (bytes: Buffer): void {
+  #receive (bytes: Buffer, from: string): void {
     const message = peerMessage.decodeMessage(bytes)
     if (message === undefined) return
+    clusterView.noteHeard(this.view, from, this.#options.runtime.nowMs())
     if (message.kind === 'status') {
       const nowMs = this.#options.runtime.nowMs()
       const isNew = !this.view.peers.has(message.status.address)
--- a/src/coordination/cluster/shared-documents.ts
+++ b/src/coordination/cluster/shared-documents.ts
@@ -11,8 +11,12 @@
 import type * as clusterView from '../../state/cluster-view.js'
 import type * as runtime from '../runtime.js'
 
+/** Agents need nothing of the list of backend servers. */
+export type WantedDocuments = 'all' | 'configuration'
+
 export interface SharedDocumentsOptions {
   runtime: runtime.Runtime
+  wanted: WantedDocuments
   onConfiguration: (table: routingTable.RoutingTable) => void
   onBackends: (rows: backendPool.BackendRow[]) => void
   signal: AbortSignal
@@ -20,12 +24,14 @@
 
 /** Form in which a peer passes the documents on. */
 interface PeerDocuments {
-  configuration: routingTable.Configuration | undefined
+  configuration: routingTable.Configuration | null
   backendRevision: number
   backends: backendPool.BackendRow[]
 }
 
-export const DOCUMENTS_PATH = '/documents'
+const PATHS: Record<WantedDocuments, string> = { all: '/documents', configuration: '/documents/configuration' }
+/** What an agent reads of the configuration, the shape of the engine, seldom changes. */
+const CONFIGURATION_INTERVAL_MS = 5_000
 const FETCH_TIMEOUT_MS = 800
 const SETTLE_INTERVAL_MS = 200
 
@@ -35,6 +41,8 @@
   readonly #options: SharedDocumentsOptions
   readonly #agent = new http.Agent({ keepAlive: false })
   #fetching = false
+  #fetchedAtMs = -Infinity
+  #encoded: { version: number, text: string } | undefined
 
   constructor (options: SharedDocumentsOptions) {
     this.#options = options
@@ -68,39 +76,54 @@
     this.#options.onBackends(rows)
   }
 
-  encode (): string {
-    const documents: PeerDocuments = {
-      configuration: this.routing?.configuration,
-      backendRevision: this.table.revision,
-      backends: backendTable.rowsOf(this.table)
+  /** @returns what a peer asks for; undefined for an unknown path. */
+  encode (path: string): string | undefined {
+    if (path === PATHS.configuration) return `{"configuration":${this.#encodedConfiguration()}}`
+    if (path !== PATHS.all) return undefined
+    const backends = JSON.stringify(backendTable.rowsOf(this.table))
+    const { revision } = this.table
+    return `{"configuration":${this.#encodedConfiguration()},"backendRevision":${revision},"backends":${backends}}`
+  }
+
+  /** Many peers ask for the same version within a second. */
+  #encodedConfiguration (): string {
+    const version = this.configurationVersion
+    if (this.#encoded?.version !== version) {
+      this.#encoded = { version, text: JSON.stringify(this.routing?.configuration ?? null) }
     }
-    return JSON.stringify(documents)
+    return this.#encoded.text
   }
 
   /** Fetches the documents from a peer that has newer ones. */
   noteStatus (status: clusterView.PeerStatus): void {
-    const isNewer = status.configurationVersion > this.configurationVersion ||
-      status.backendRevision > this.table.revision
-    if (!isNewer || this.#fetching) return
+    if (this.#fetching || !this.#isNewer(status)) return
     this.#fetching = true
+    this.#fetchedAtMs = this.#options.runtime.nowMs()
     this.#fetch(status.address).catch((error: Error) => {
       this.#options.runtime.log.emit('peerFetchFailed', { peer: status.address, reason: error.message })
     }).finally(() => { this.#fetching = false })
   }
 
+  #isNewer (status: clusterView.PeerStatus): boolean {
+    const isNewer = status.configurationVersion > this.configurationVersion
+    if (this.#options.wanted === 'all') return isNewer || status.backendRevision > this.table.revision
+    const isDue = this.#options.runtime.nowMs() - this.#fetchedAtMs > CONFIGURATION_INTERVAL_MS
+    return isNewer && (isDue || this.routing === undefined)
+  }
+
   async #fetch (peer: string): Promise<void> {
     const result = await httpCall.callHttp({
       address: peer,
       method: 'GET',
-      path: DOCUMENTS_PATH,
+      path: PATHS[this.#options.wanted],
       agent: this.#agent,
       timeoutMs: FETCH_TIMEOUT_MS,
       signal: this.#options.signal
     })
     if (result.kind === 'failed') throw new Error(result.reason)
     const documents = JSON.parse(result.body.toString('utf8')) as PeerDocuments
-    if (documents.configuration !== undefined) this.offerConfiguration(documents.configuration, peer)
-    if (documents.backendRevision <= this.table.revision) return
+    if (documents.configuration !== null) this.offerConfiguration(documents.configuration, peer)
+    if (this.#options.wanted === 'configuration' || documents.backendRevision <= this.table.revision) return
     backendTable.replaceAll(
       this.table, documents.backends.map(row => ({ id: row.id, row, wasDeleted: false })),
       documents.backendRevision, this.#options.runtime.nowMs()
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -9,6 +9,7 @@
 import * as backendTable from '../../state/backend-table.js'
 import * as clusterView from '../../state/cluster-view.js'
 import * as crashRecord from '../../state/crash-record.js'
+import * as peerPace from '../../state/peer-pace.js'
 import * as metricsServer from '../../transport/metrics-server.js'
 import * as membershipRow from '../cluster/membership-row.js'
 import * as peerLinks from '../cluster/peer-links.js'
@@ -70,6 +71,7 @@
     this.#signal = signal
     this.#documents = new sharedDocuments.SharedDocuments({
       runtime: env,
+      wanted: 'all',
       onConfiguration: table => { this.#applyLimits(table) },
       onBackends: rows => {
         backendPool.setRows(this.#pool, rows)
@@ -80,6 +82,7 @@
     this.#peers = new peerLinks.PeerLinks({
       runtime: env,
       address: options.peerAddress,
+      role: 'entry',
       seeds: peerLinks.seedAddresses(options.seedHosts, options.peerAddress),
       status: () => this.#status(),
       onMessage: message => { this.#receive(message) },
@@ -243,17 +246,19 @@
       response.writeHead(404, { 'Content-Length': 0 }).end()
       return
     }
+    const silentSinceMs = this.#env.nowMs() - peerPace.silentAfterMs(this.#peers.view, 'entry', 'entry')
     const addresses = clusterView.clientAddresses(
-      this.#peers.view, this.#status(), directory.clientFailureDomain(request), this.#env.nowMs(), MAX_ADDRESSES
+      this.#peers.view, this.#status(), directory.clientFailureDomain(request), silentSinceMs, MAX_ADDRESSES
     )
     const body = directory.encodeAnswer({ addresses, timeToLiveS: this.#options.addressLifetimeS })
     response.writeHead(200, { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(body) }).end(body)
   }
 
   #answerPeer (request: http.IncomingMessage, response: http.ServerResponse): void {
-    const isDocuments = request.url === sharedDocuments.DOCUMENTS_PATH
-    const body = isDocuments ? this.#documents.encode() : ''
-    response.writeHead(isDocuments ? 200 : 404, { 'Content-Length': Buffer.byteLength(body), Connection: 'close' }).end(body)
+    const body = this.#documents.encode(request.url ?? '')
+    response.writeHead(body === undefined ? 404 : 200, {
+      'Content-Length': Buffer.byteLength(body ?? ''), Connection: 'close'
+    }).end(body)
   }
 
   async #listen (
--- a/src/coordination/ranks/__tests__/lead-election.spec.ts
+++ b/src/coordination/ranks/__tests__/lead-election.spec.ts
@@ -51,6 +51,7 @@
     store,
     peers: {
       view: clusterView.createView(address),
+      alivePeers: () => [],
       broadcast: message => {
         if (message.kind !== 'lead' || Date.now() < hearsFromMs) return
         for (const other of elections.values()) other.noteLead(message.group, message.term, message.address)
--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -31,6 +31,8 @@
 
 /** The lead looks at its ranks this often; news of a rank makes it look at once. */
 const LEAD_TICK_MS = 50
+/** Agents tell the lead of their rank ten times a second; a few lost datagrams don't make one silent. */
+const RANK_SILENT_MS = 1_200
 /** Copies and orders of a switch take about a second. */
 const LEAVE_TIMEOUT_MS = 3_000
 /** The map in use, and those prepared after it that were given up. */
@@ -74,13 +76,14 @@
     this.#peers = new peerLinks.PeerLinks({
       runtime: env,
       address: options.peerAddress,
+      role: 'agent',
       seeds: peerLinks.seedAddresses(options.seedHosts, options.peerAddress),
       status: () => this.#status(),
       onMessage: message => { this.#receive(message) },
       signal
     })
     this.#documents = new sharedDocuments.SharedDocuments({
-      runtime: env, onConfiguration: () => {}, onBackends: () => {}, signal
+      runtime: env, wanted: 'configuration', onConfiguration: () => {}, onBackends: () => {}, signal
     })
     this.#election = new leadElection.LeadElection({
       runtime: env,
@@ -158,8 +161,8 @@
 
   #noteReading (reading: rankWatch.RankReading): void {
     const { report, readAtMs } = reading
-    const ageMs = this.#env.nowMs() - readAtMs
-    this.#peers.broadcast({
+    const ageMs = Math.round(this.#env.nowMs() - readAtMs)
+    this.#peers.tellLoad({
       kind: 'load',
       rankAddress: this.#options.rankAddress,
       load: {
@@ -171,7 +174,7 @@
       },
       step: report.step,
       ageMs
-    }, 'entry')
+    })
     const state = rankWatch.rankStateOf(reading)
     if (state === undefined) return
     this.#lead.noteRank(state)
@@ -206,7 +209,7 @@
     const peer = [...this.#peers.view.peers.values()].find(candidate =>
       candidate.status.rank?.group === group && candidate.status.rank?.rank === rank)
     if (peer === undefined) return { agent: undefined, rank: undefined }
-    const isAlive = this.#env.nowMs() - peer.heardAtMs <= clusterView.ALIVE_WITHIN_MS
+    const isAlive = this.#env.nowMs() - peer.heardAtMs <= RANK_SILENT_MS
     return { agent: isAlive ? peer.status.address : undefined, rank: peer.status.rank?.address }
   }
 
--- a/src/coordination/ranks/lead-election.ts
+++ b/src/coordination/ranks/lead-election.ts
@@ -11,7 +11,7 @@
 export interface LeadElectionOptions {
   runtime: runtime.Runtime
   store: controlStore.ControlStore
-  peers: Pick<peerLinks.PeerLinks, 'view' | 'broadcast'>
+  peers: Pick<peerLinks.PeerLinks, 'view' | 'broadcast' | 'alivePeers'>
   address: string
   /** Group and rank of the agent's own rank. */
   ownRank: () => clusterView.PeerRank | undefined
@@ -101,13 +101,14 @@
   #shouldTakeOver (own: clusterView.PeerRank): boolean {
     const { runtime: { nowMs }, peers } = this.#options
     if (nowMs() - this.#startedAtMs < LISTEN_FIRST_MS || nowMs() - this.#leadHeardAtMs < LEAD_SILENT_MS) return false
-    return clusterView.alivePeers(peers.view, 'agent', nowMs())
-      .every(({ status: { rank } }) => rank === undefined || rank.group !== own.group || rank.rank > own.rank)
+    // The silent lead itself may count as alive for longer than a lead may be silent.
+    return peers.alivePeers('agent').every(({ status: { address, rank } }) =>
+      address === this.leadAddress || rank === undefined || rank.group !== own.group || rank.rank > own.rank)
   }
 
   /** Whether the store records a lead that this process has had no chance to hear. */
-  #isUnheard (recorded: RecordedLead | undefined): recorded is RecordedLead {
-    return recorded !== undefined && recorded.term > this.#highestTerm && recorded.address !== this.#options.address
+  #isUnheard (recorded: RecordedLead): boolean {
+    return recorded.term > this.#highestTerm && recorded.address !== this.#options.address
   }
 
   /**
@@ -128,7 +129,7 @@
     if (listed.kind !== 'ok') return
     const row = listed.value.rows.find(candidate => candidate.key === group)
     const recorded = leadOf(row?.value)
-    if (this.#isUnheard(recorded)) {
+    if (recorded !== undefined && this.#isUnheard(recorded)) {
       this.#awaitRecorded(recorded)
       return
     }
--- a/src/state/cluster-view.ts
+++ b/src/state/cluster-view.ts
@@ -39,8 +39,6 @@
   peers: Map<string, Peer>
 }
 
-/** A few lost datagrams at the interval below don't make a peer silent. */
-export const ALIVE_WITHIN_MS = 1_200
 export const STATUS_INTERVAL_MS = 300
 /** An address that never answers is dropped after this time. */
 const FORGET_AFTER_MS = 30_000
@@ -61,6 +59,14 @@
   view.peers.set(status.address, { status, heardAtMs: nowMs })
 }
 
+/** Any message of a peer shows that it lives. */
+export function noteHeard (view: ClusterView, address: string, nowMs: number): void {
+  const peer = view.peers.get(address)
+  if (peer === undefined) return
+  peer.heardAtMs = nowMs
+  view.known.set(address, nowMs)
+}
+
 export function forgetSilent (view: ClusterView, nowMs: number): void {
   for (const [address, heardAtMs] of view.known) {
     if (nowMs - heardAtMs <= FORGET_AFTER_MS) continue
@@ -69,9 +75,9 @@
   }
 }
 
-export function alivePeers (view: ClusterView, role: ProcessRole, nowMs: number): Peer[] {
-  return [...view.peers.values()].filter(peer =>
-    peer.status.role === role && nowMs - peer.heardAtMs <= ALIVE_WITHIN_MS)
+/** Peers of a role that were heard since a time. */
+export function peersHeardSince (view: ClusterView, role: ProcessRole, sinceMs: number): Peer[] {
+  return [...view.peers.values()].filter(peer => peer.status.role === role && peer.heardAtMs >= sinceMs)
 }
 
 /** Processes of a role that were heard and not forgotten. */
@@ -79,11 +85,15 @@
   return [...view.peers.values()].filter(peer => peer.status.role === role).length
 }
 
-/** Ready entries that clients may use, the client's failure domain first. */
+/**
+ * Ready entries that clients may use, the client's failure domain first.
+ *
+ * @param sinceMs entries that were silent since then are left out.
+ */
 export function clientAddresses (
-  view: ClusterView, own: PeerStatus, failureDomain: string | undefined, nowMs: number, limit: number
+  view: ClusterView, own: PeerStatus, failureDomain: string | undefined, sinceMs: number, limit: number
 ): string[] {
-  const ready = alivePeers(view, 'entry', nowMs).map(peer => peer.status).filter(status => status.state === 'ready')
+  const ready = peersHeardSince(view, 'entry', sinceMs).map(peer => peer.status).filter(status => status.state === 'ready')
   if (own.state === 'ready') ready.push(own)
   // An entry that hears no ready one names itself: a client without an address can do nothing.
   if (ready.length === 0) ready.push(own)
