Send a group's map as changes and hold large groups further ahead

Cause: the whole map of 63 ranks takes 10 KB, 62 of them 0.9 s of the lead's link; orders had no answer in time, the lead's own heartbeat was lost and another agent took over. Change: agents get what a plan changes against the map that they have, with a digest of the result; one that has no such map asks for the whole one. The held step and repeats of orders leave 4 ms more for each rank above 12.

--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -6,6 +6,8 @@
 import * as http from 'node:http'
 import * as timers from 'node:timers/promises'
 import * as clusterView from '../../state/cluster-view.js'
+import * as expertRebalance from '../../state/expert-rebalance.js'
+import * as mapChanges from '../../state/map-changes.js'
 import * as rankCall from '../../protocol/rank-call.js'
 import * as metricsServer from '../../transport/metrics-server.js'
 import * as membershipRow from '../cluster/membership-row.js'
@@ -100,7 +102,7 @@
       rankAt: address => this.#remoteRank(address),
       addressesOf: rank => this.#addressesOf(rank),
       engine: () => this.#engine(),
-      mapOf: (epoch, version) => this.#maps.find(known => known.epoch === epoch && known.version === version)?.map,
+      mapOf: (epoch, version) => this.#mapOf(epoch, version),
       isLeading: term => this.#election.term === term,
       onFenced: () => { this.#election.resign('a rank has orders of a later lead') },
       signal
@@ -238,11 +240,28 @@
     }
     if (call.kind === 'state') return { kind: 'state', ...await this.#readState() }
     if (!this.#election.mayOrder(call.term)) return { kind: 'rejected', reason: 'another agent leads' }
-    if (call.order.kind === 'prepare') this.#rememberMap(call.epoch, call.order)
-    const outcome = await this.#rank.order(call.order, call.epoch, call.term, this.#signal)
+    const order = call.order.kind === 'prepare_changes' ? this.#wholeOrder(call.epoch, call.order) : call.order
+    if (order === undefined) return { kind: 'map_unknown' }
+    if (order.kind === 'prepare') this.#rememberMap(call.epoch, order)
+    const outcome = await this.#rank.order(order, call.epoch, call.term, this.#signal)
     return { kind: 'ordered', outcome, ...await this.#readState() }
   }
 
+  #wholeOrder (epoch: number, order: rankCall.PrepareChanges): rankControl.RankOrder | undefined {
+    const base = this.#mapOf(epoch, order.baseVersion)
+    const map = base === undefined ? undefined : mapChanges.applyChanges(base, order.changes)
+    if (map === undefined || mapChanges.digestOf(map) !== order.digest) return undefined
+    return { kind: 'prepare', version: order.version, map }
+  }
+
+  #mapOf (epoch: number, version: number): rankControl.ExpertMap | undefined {
+    const [engine, group] = [this.#engine(), this.#watch.group]
+    if (version === 0 && engine !== undefined && group !== undefined) {
+      return expertRebalance.initialMap(engine.expertSets, engine.expertsPerSet, group.size)
+    }
+    return this.#maps.find(known => known.epoch === epoch && known.version === version)?.map
+  }
+
   /** The rank's state as of now. */
   async #readState (): Promise<{ state: rankSwitch.RankState | undefined, ageMs: number }> {
     const readAtMs = this.#env.nowMs()
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -3,6 +3,7 @@
  */
 
 import * as expertRebalance from '../../state/expert-rebalance.js'
+import * as mapChanges from '../../state/map-changes.js'
 import * as rankSwitch from '../../state/rank-switch.js'
 import * as rankWatch from './rank-watch.js'
 import type * as rankCall from '../../protocol/rank-call.js'
@@ -27,7 +28,7 @@
   rankAt: (address: string) => rankControl.RankControl
   addressesOf: (rank: number) => RankAddresses
   engine: () => routingTable.EngineModel | undefined
-  /** Map of a version that this agent was told to prepare; undefined for others. */
+  /** The initial map, or one that this agent was told to prepare; undefined for others. */
   mapOf: (epoch: number, version: number) => rankControl.ExpertMap | undefined
   /** Whether this agent leads with the number. */
   isLeading: (term: number) => boolean
@@ -62,6 +63,8 @@
   #group = ''
   #term = 0
   #map: { version: number, epoch: number, map: rankControl.ExpertMap } | undefined
+  /** How the proposed map differs from the one in use. */
+  #changes: rankCall.PrepareChanges | undefined
   #earlier: rankSwitch.EarlierLead | undefined
   #samples: CountsSample[] = []
   #lastPlanMs = -Infinity
@@ -80,6 +83,7 @@
     this.#term = term
     this.#state = undefined
     this.#map = undefined
+    this.#changes = undefined
     this.#samples = []
     this.#ranks.clear()
     this.#fencedRanks.clear()
@@ -143,23 +147,23 @@
   #knownMap (own: rankControl.RankGroup): rankControl.ExpertMap | undefined {
     const version = this.#ranks.get(own.rank)?.mapVersion ?? 0
     if (this.#map?.epoch === own.epoch && this.#map.version === version) return this.#map.map
-    const model = this.#options.engine()
-    if (version === 0 && model !== undefined) {
-      return expertRebalance.initialMap(model.expertSets, model.expertsPerSet, own.size)
-    }
     return this.#options.mapOf(own.epoch, version)
   }
 
   async #give (rank: number, order: rankControl.RankOrder, own: rankControl.RankGroup): Promise<void> {
     const { caller, addressesOf, ownCall, rankAt, runtime: { nowMs, log }, signal } = this.#options
-    const call: rankCall.RankCall = { kind: 'order', group: this.#group, epoch: own.epoch, term: this.#term, order }
+    const callWith = (given: rankControl.RankOrder | rankCall.PrepareChanges): rankCall.RankCall =>
+      ({ kind: 'order', group: this.#group, epoch: own.epoch, term: this.#term, order: given })
     const { agent, rank: address } = addressesOf(rank)
     const sentAtMs = nowMs()
     let outcome: rankControl.OrderOutcome | undefined
     // The lead's host may stand still with the order; a rank of another host can be released without it.
     const isDirect = order.kind === 'hold' && rank !== own.rank && address !== undefined
     if (!isDirect && (rank === own.rank || agent !== undefined)) {
-      const answer = rank === own.rank ? await ownCall(call) : await caller.call(agent!, call, signal)
+      let answer = rank === own.rank
+        ? await ownCall(callWith(order))
+        : await caller.call(agent!, callWith(this.#withoutWholeMap(order)), signal)
+      if (answer?.kind === 'map_unknown') answer = await caller.call(agent!, callWith(order), signal)
       if (answer?.kind === 'ordered') {
         outcome = answer.outcome
         if (answer.state !== undefined) this.noteRank({ ...answer.state, readAtMs: nowMs() - answer.ageMs })
@@ -186,6 +190,10 @@
     }
   }
 
+  #withoutWholeMap (order: rankControl.RankOrder): rankControl.RankOrder | rankCall.PrepareChanges {
+    return order.kind === 'prepare' && this.#changes?.version === order.version ? this.#changes : order
+  }
+
   /** A rank whose agent is silent is asked itself. */
   #readSilentRanks (own: rankControl.RankGroup): void {
     const { addressesOf, runtime: { nowMs } } = this.#options
@@ -242,6 +250,13 @@
     })
     if (plan.copies === 0) return
     const version = rankSwitch.propose(state, plan.map, nowMs())
+    this.#changes = {
+      kind: 'prepare_changes',
+      version,
+      baseVersion: this.#map.version,
+      changes: mapChanges.changesBetween(this.#map.map, plan.map),
+      digest: mapChanges.digestOf(plan.map)
+    }
     log.emit('mapPlanned', {
       epoch: own.epoch,
       version,
@@ -257,11 +272,6 @@
   async #learnMap (own: rankControl.RankGroup, model: routingTable.EngineModel): Promise<boolean> {
     const version = this.#ranks.get(own.rank)?.mapVersion ?? 0
     if (this.#map?.epoch === own.epoch && this.#map.version === version) return true
-    if (version === 0) {
-      const map = expertRebalance.initialMap(model.expertSets, model.expertsPerSet, own.size)
-      this.#map = { version, epoch: own.epoch, map }
-      return true
-    }
     const prepared = this.#options.mapOf(own.epoch, version)
     if (prepared !== undefined) {
       this.#map = { version, epoch: own.epoch, map: prepared }
--- a/src/protocol/rank-call.ts
+++ b/src/protocol/rank-call.ts
@@ -2,11 +2,23 @@
  * Calls of a group's lead to the agents of its ranks, as JSON over HTTP.
  */
 
+import type * as mapChanges from '../state/map-changes.js'
 import type * as rankSwitch from '../state/rank-switch.js'
 import type * as rankControl from './rank-control.js'
 
+/** A prepare order whose map is given by its difference from one that the agent has. */
+export interface PrepareChanges {
+  kind: 'prepare_changes'
+  version: number
+  /** Version of the map that the changes start from. */
+  baseVersion: number
+  changes: mapChanges.MapChanges
+  /** Of the whole map. */
+  digest: string
+}
+
 export type RankCall =
-  | { kind: 'order', group: string, epoch: number, term: number, order: rankControl.RankOrder }
+  | { kind: 'order', group: string, epoch: number, term: number, order: rankControl.RankOrder | PrepareChanges }
   | { kind: 'state' }
   | { kind: 'counts', sets: number, withExperts: boolean }
 
@@ -14,6 +26,8 @@
   | { kind: 'ordered', outcome: rankControl.OrderOutcome, state: rankSwitch.RankState | undefined, ageMs: number }
   | { kind: 'state', state: rankSwitch.RankState | undefined, ageMs: number }
   | { kind: 'counts', counts: rankControl.ExpertCounts | undefined, placed: rankControl.PlacedExperts | undefined }
+  /** The agent can't make the map of `prepare_changes`; it needs the whole one. */
+  | { kind: 'map_unknown' }
   /** The caller does not lead any more, or the call can't be read. */
   | { kind: 'rejected', reason: string }
 
--- a/src/state/rank-switch.ts
+++ b/src/state/rank-switch.ts
@@ -83,6 +83,9 @@
 const STATE_LIFETIME_MS = 700
 const REPEAT_PREPARE_MS = 400
 const REPEAT_ORDER_MS = 60
+/** An order to each rank of a group takes the lead's host about this much more for each rank above the usual size. */
+const LARGE_GROUP_RANK_MS = 4
+const USUAL_GROUP_SIZE = 12
 /** A rank that is only slow to be read answers within this time. */
 const ABSENT_LEAD_MS = 300
 /** Time for a hold order to reach its rank before the held step begins. */
@@ -151,8 +154,10 @@
 
 /** A step that the group won't have begun when a hold order arrives. */
 function stepAhead (state: SwitchState, known: readonly RankState[], nowMs: number): number {
+  // All ranks can be armed before the held step begins, so that the group does not stand still meanwhile.
+  const aheadMs = HOLD_AHEAD_MS + largeGroupMs(state)
   return Math.max(...known.map(rank =>
-    rank.step + 1 + Math.ceil((nowMs - rank.readAtMs + HOLD_AHEAD_MS) / Math.max(1, state.passMs))))
+    rank.step + 1 + Math.ceil((nowMs - rank.readAtMs + aheadMs) / Math.max(1, state.passMs))))
 }
 
 function currentStates (state: SwitchState, ranks: ReadonlyMap<number, RankState>, nowMs: number): RankState[] {
@@ -342,13 +347,19 @@
   return due(state, [holder], { kind: 'go', step }, REPEAT_ORDER_MS, nowMs)
 }
 
+/** Time that orders to all ranks of a large group take longer than in one of usual size. */
+function largeGroupMs (state: SwitchState): number {
+  return Math.max(0, state.size - USUAL_GROUP_SIZE) * LARGE_GROUP_RANK_MS
+}
+
 /** The order for those ranks that have not had one for a while. */
 function due (
   state: SwitchState, ranks: readonly number[], order: rankControl.RankOrder, repeatMs: number, nowMs: number
 ): RankOrderEffect[] {
   const effects: RankOrderEffect[] = []
+  const extraMs = ranks.length > 1 ? largeGroupMs(state) : 0
   for (const rank of ranks) {
-    if (nowMs - (state.orderedAtMs.get(rank) ?? -Infinity) < repeatMs) continue
+    if (nowMs - (state.orderedAtMs.get(rank) ?? -Infinity) < repeatMs + extraMs) continue
     state.orderedAtMs.set(rank, nowMs)
     effects.push({ rank, order })
   }
