--- a/src/coordination/cluster/table-watch.ts
+++ b/src/coordination/cluster/table-watch.ts
@@ -22,6 +22,11 @@
 /** Calls to the store are priced and limited, also while it refuses them. */
 const RETRY_MIN_MS = 150
 const RETRY_MAX_MS = 600
+/**
+ * Pause after changes, so that those which follow come in one answer. Load pattern: all backend servers of a large
+ * deployment register within a second or two, and each of forty entries asked again after each of them.
+ */
+const GATHER_MS = 150
 
 export async function watchTable (options: TableWatchOptions): Promise<void> {
   const { signal, runtime: { log, random }, store, table } = options
@@ -40,7 +45,9 @@
       failures = 0
       if (revision === undefined) options.onAll(answer.value)
       else if (answer.value.rows.length > 0) options.onChanges(answer.value)
+      const hasChanges = revision !== undefined && answer.value.rows.length > 0
       revision = answer.value.revision
+      if (hasChanges) await sleep(GATHER_MS, signal)
       continue
     }
     if (answer.kind === 'history_lost') {
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -8,6 +8,7 @@
 import * as backendPool from '../../state/backend-pool.js'
 import * as crashRecord from '../../state/crash-record.js'
 import * as sharedBudget from '../../state/shared-budget.js'
+import * as waitQueue from '../../state/wait-queue.js'
 import * as attempt from './attempt.js'
 import * as callModule from './call.js'
 import * as readBody from './read-body.js'
@@ -38,7 +39,9 @@
   response.on('close', () => { if (!response.writableFinished) left.abort() })
   const routing = ctx.routing()
   if (routing === undefined) {
-    reply.refuse('no_configuration', 300)
+    // When the configuration comes is not known, and the client may come back only once.
+    const remainingMs = head.remainingMs ?? DEFAULT_REMAINING_MS
+    reply.refuse('no_configuration', waitQueue.retryAfterMs(undefined, remainingMs, ctx.random()))
     return
   }
   const limits = routing.configuration.limits
