--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -6,6 +6,7 @@
 import * as http from 'node:http'
 import * as timers from 'node:timers/promises'
 import * as clusterView from '../../state/cluster-view.js'
+import * as countWindow from '../../state/count-window.js'
 import * as expertRebalance from '../../state/expert-rebalance.js'
 import * as mapChanges from '../../state/map-changes.js'
 import * as rankCall from '../../protocol/rank-call.js'
@@ -62,6 +63,7 @@
   readonly #lead: mapLead.MapLead
   readonly #remoteRanks = new Map<string, rankControl.RankControl>()
   readonly #maps: { epoch: number, version: number, map: rankControl.ExpertMap }[] = []
+  readonly #counts = countWindow.createWindow()
   #ledTerm: number | undefined
 
   constructor (
@@ -235,9 +237,10 @@
   async #carryOut (call: rankCall.RankCall): Promise<rankCall.RankCallAnswer> {
     if (call.kind === 'counts') {
       const counts = await this.#rank.counts(call.sets, this.#signal)
-      const placed = call.withExperts ? await this.#rank.placedExperts(this.#signal) : undefined
-      return { kind: 'counts', counts, placed }
+      if (counts === undefined) return { kind: 'counts', counts }
+      return { kind: 'counts', counts: countWindow.addReading(this.#counts, counts, call.windowMs, this.#env.nowMs()) }
     }
+    if (call.kind === 'placed') return { kind: 'placed', placed: await this.#rank.placedExperts(this.#signal) }
     if (call.kind === 'state') return { kind: 'state', ...await this.#readState() }
     if (!this.#election.mayOrder(call.term)) return { kind: 'rejected', reason: 'another agent leads' }
     const order = call.order.kind === 'prepare_changes' ? this.#wholeOrder(call.epoch, call.order) : call.order
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -2,6 +2,7 @@
  * Plans and switches the expert maps of a group while this agent leads it.
  */
 
+import * as countWindow from '../../state/count-window.js'
 import * as expertRebalance from '../../state/expert-rebalance.js'
 import * as mapChanges from '../../state/map-changes.js'
 import * as rankSwitch from '../../state/rank-switch.js'
@@ -39,22 +40,14 @@
 
 /** Least time between two looks at the counts; shorter ones hold too little new. */
 const PLAN_INTERVAL_MS = 400
-/** Counts are compared with those of about this long ago. */
+/** Counts are compared with those of up to this long ago. */
 const WINDOW_MS = 1_200
-/** Most ranks whose counts are read; requests spread evenly, so that a part of a large group stands for all. */
-const MAX_COUNTED_RANKS = 16
 const MAX_NEW_PER_RANK = 4
 const LEAST_GAIN_PER_COPY = 0.02
 const SILENT_RANK_MS = 400
 const DIRECT_READ_INTERVAL_MS = 200
 const REMOTE_REPORT_AGE_MS = 300
 
-interface CountsSample {
-  atMs: number
-  epoch: number
-  byRank: Map<number, number[][]>
-}
-
 export class MapLead {
   readonly #options: MapLeadOptions
   readonly #ranks = new Map<number, rankSwitch.RankState>()
@@ -66,7 +59,6 @@
   /** How the proposed map differs from the one in use. */
   #changes: rankCall.PrepareChanges | undefined
   #earlier: rankSwitch.EarlierLead | undefined
-  #samples: CountsSample[] = []
   #lastPlanMs = -Infinity
   readonly #fencedRanks = new Set<number>()
   #isPlanning = false
@@ -84,7 +76,6 @@
     this.#state = undefined
     this.#map = undefined
     this.#changes = undefined
-    this.#samples = []
     this.#ranks.clear()
     this.#fencedRanks.clear()
   }
@@ -112,7 +103,6 @@
     if (this.#state?.epoch !== own.epoch || this.#state.size !== own.size) {
       this.#state = rankSwitch.startSwitching(own.epoch, own.size, own.rank, this.#term, nowMs(), this.#earlier)
       this.#map = undefined
-      this.#samples = []
       this.#fencedRanks.clear()
     }
     if (!own.isOpen) return
@@ -231,13 +221,12 @@
     const model = engine()
     if (model === undefined || model.expertSets === 0) return
     const isMapKnown = await this.#learnMap(own, model)
-    await this.#sampleCounts(own, model)
+    const counts = await this.#recentCounts(own, model)
     const state = this.#state
     if (this.#isStopping || !isMapKnown || state === undefined || !rankSwitch.isIdle(state) ||
       state.epoch !== own.epoch) {
       return
     }
-    const counts = this.#recentCounts(nowMs())
     if (counts === undefined || this.#map === undefined) return
     const startedAtMs = nowMs()
     const plan = expertRebalance.rebalance(this.#map.map, counts, {
@@ -277,12 +266,11 @@
       this.#map = { version, epoch: own.epoch, map: prepared }
       return true
     }
-    const answers = await this.#askAll(own, Array.from({ length: own.size }, (_, rank) => rank), {
-      kind: 'counts', sets: model.expertSets, withExperts: true
-    })
+    const answers = await this.#askAll(own, { kind: 'placed' })
     const map: rankControl.ExpertMap = Array.from({ length: model.expertSets }, () => [])
     for (let rank = 0; rank < own.size; rank++) {
-      const placed = answers.get(rank)?.placed
+      const answer = answers.get(rank)
+      const placed = answer?.kind === 'placed' ? answer.placed : undefined
       if (placed?.version !== version || placed.experts.length !== model.expertSets) return false
       placed.experts.forEach((experts, set) => { map[set]![rank] = experts })
     }
@@ -290,52 +278,28 @@
     return true
   }
 
-  async #sampleCounts (own: rankControl.RankGroup, model: routingTable.EngineModel): Promise<void> {
-    const { runtime: { nowMs } } = this.#options
-    const stride = Math.max(1, Math.ceil(own.size / MAX_COUNTED_RANKS))
-    const ranks = Array.from({ length: own.size }, (_, rank) => rank).filter(rank => rank % stride === 0)
-    const answers = await this.#askAll(own, ranks, { kind: 'counts', sets: model.expertSets, withExperts: false })
-    const byRank = new Map<number, number[][]>()
-    for (const [rank, answer] of answers) {
-      if (answer.counts?.epoch === own.epoch) byRank.set(rank, answer.counts.counts)
-    }
-    this.#samples.push({ atMs: nowMs(), epoch: own.epoch, byRank })
-    while (this.#samples.length > 2 && nowMs() - this.#samples[1]!.atMs > WINDOW_MS) this.#samples.shift()
+  /** What the requests of all ranks chose over the window. */
+  async #recentCounts (
+    own: rankControl.RankGroup, model: routingTable.EngineModel
+  ): Promise<number[][] | undefined> {
+    const answers = await this.#askAll(own, { kind: 'counts', sets: model.expertSets, windowMs: WINDOW_MS })
+    const packed = [...answers.values()].flatMap(answer =>
+      answer.kind === 'counts' && answer.counts !== undefined ? [answer.counts] : [])
+    return countWindow.sumCounts(packed, own.epoch, model.expertSets, model.expertsPerSet)
   }
 
-  async #askAll (
-    own: rankControl.RankGroup, ranks: readonly number[], call: rankCall.RankCall
-  ): Promise<Map<number, rankCall.RankCallAnswer & { kind: 'counts' }>> {
+  async #askAll (own: rankControl.RankGroup, call: rankCall.RankCall): Promise<Map<number, rankCall.RankCallAnswer>> {
     const { addressesOf, caller, ownCall, signal } = this.#options
-    const answers = new Map<number, rankCall.RankCallAnswer & { kind: 'counts' }>()
-    await Promise.all(ranks.map(async rank => {
+    const answers = new Map<number, rankCall.RankCallAnswer>()
+    await Promise.all(Array.from({ length: own.size }, async (_, rank) => {
       const { agent } = addressesOf(rank)
       const answer = rank === own.rank
         ? await ownCall(call)
         : agent === undefined ? undefined : await caller.call(agent, call, signal)
-      if (answer?.kind === 'counts') answers.set(rank, answer)
+      if (answer !== undefined) answers.set(rank, answer)
     }))
     return answers
   }
-
-  /** Tokens of each expert between the first and the last sample, over the ranks that are in both. */
-  #recentCounts (nowMs: number): number[][] | undefined {
-    const [first, last] = [this.#samples[0], this.#samples.at(-1)]
-    if (first === undefined || last === undefined || first === last || nowMs - last.atMs > WINDOW_MS) return undefined
-    let sum: number[][] | undefined
-    for (const [rank, counts] of last.byRank) {
-      const before = first.byRank.get(rank)
-      if (before === undefined) continue
-      sum ??= counts.map(set => set.map(() => 0))
-      counts.forEach((set, index) => {
-        set.forEach((count, expert) => {
-          // A rank that started again counts from zero.
-          sum![index]![expert]! += Math.max(0, count - (before[index]?.[expert] ?? 0))
-        })
-      })
-    }
-    return sum
-  }
 }
 
 function withoutMap (phase: rankSwitch.SwitchPhase): Record<string, unknown> {
--- a/src/protocol/rank-call.ts
+++ b/src/protocol/rank-call.ts
@@ -2,6 +2,7 @@
  * Calls of a group's lead to the agents of its ranks, as JSON over HTTP.
  */
 
+import type * as countWindow from '../state/count-window.js'
 import type * as mapChanges from '../state/map-changes.js'
 import type * as rankSwitch from '../state/rank-switch.js'
 import type * as rankControl from './rank-control.js'
@@ -20,12 +21,15 @@
 export type RankCall =
   | { kind: 'order', group: string, epoch: number, term: number, order: rankControl.RankOrder | PrepareChanges }
   | { kind: 'state' }
-  | { kind: 'counts', sets: number, withExperts: boolean }
+  /** @property windowMs over which the counts are wanted. */
+  | { kind: 'counts', sets: number, windowMs: number }
+  | { kind: 'placed' }
 
 export type RankCallAnswer =
   | { kind: 'ordered', outcome: rankControl.OrderOutcome, state: rankSwitch.RankState | undefined, ageMs: number }
   | { kind: 'state', state: rankSwitch.RankState | undefined, ageMs: number }
-  | { kind: 'counts', counts: rankControl.ExpertCounts | undefined, placed: rankControl.PlacedExperts | undefined }
+  | { kind: 'counts', counts: countWindow.PackedCounts | undefined }
+  | { kind: 'placed', placed: rankControl.PlacedExperts | undefined }
   /** The agent can't make the map of `prepare_changes`; it needs the whole one. */
   | { kind: 'map_unknown' }
   /** The caller does not lead any more, or the call can't be read. */
--- /dev/null
+++ b/src/state/count-window.ts
@@ -0,0 +1,73 @@
+/**
+ * How often the requests of one rank chose each expert over the last second or so, in the form in which its agent
+ * tells it to the lead.
+ *
+ * Load pattern: a plan from the counts of a quarter of a large group's ranks follows the few requests that happen to
+ * run there, and moves experts back and forth. All 63 ranks are counted in the bytes that 16 whole answers took.
+ */
+
+import type * as rankControl from '../protocol/rank-control.js'
+
+export interface CountWindow {
+  samples: { atMs: number, counts: rankControl.ExpertCounts }[]
+}
+
+/** Differences of the counts, rounded to 255 steps: enough to tell which expert is the busier one. */
+export interface PackedCounts {
+  epoch: number
+  /** Experts in each set. */
+  experts: number
+  /** Requests that one step stands for. */
+  scale: number
+  /** One byte for each expert of each set, in base64. */
+  steps: string
+}
+
+const MAX_STEP = 255
+
+export function createWindow (): CountWindow {
+  return { samples: [] }
+}
+
+/**
+ * Adds a reading and compares it with the oldest one in the window.
+ *
+ * @returns undefined without an earlier reading of this epoch.
+ */
+export function addReading (
+  window: CountWindow, counts: rankControl.ExpertCounts, windowMs: number, nowMs: number
+): PackedCounts | undefined {
+  // A rank that started again counts from zero.
+  const isSameRun = (earlier: rankControl.ExpertCounts): boolean =>
+    earlier.epoch === counts.epoch && earlier.step <= counts.step
+  window.samples = window.samples.filter(sample => nowMs - sample.atMs <= windowMs && isSameRun(sample.counts))
+  const oldest = window.samples[0]
+  window.samples.push({ atMs: nowMs, counts })
+  return oldest === undefined ? undefined : pack(counts, oldest.counts)
+}
+
+function pack (now: rankControl.ExpertCounts, before: rankControl.ExpertCounts): PackedCounts {
+  const differences = now.counts.flatMap((set, index) =>
+    set.map((count, expert) => Math.max(0, count - (before.counts[index]?.[expert] ?? 0))))
+  const scale = Math.max(1, ...differences) / MAX_STEP
+  return {
+    epoch: now.epoch,
+    experts: now.counts[0]?.length ?? 0,
+    scale,
+    steps: Buffer.from(differences.map(count => Math.round(count / scale))).toString('base64')
+  }
+}
+
+/** Adds up what the ranks chose. @returns by set; undefined when no rank has counts of this epoch and shape. */
+export function sumCounts (
+  packed: readonly PackedCounts[], epoch: number, sets: number, experts: number
+): number[][] | undefined {
+  let sum: number[][] | undefined
+  for (const one of packed) {
+    const steps = Buffer.from(one.steps, 'base64')
+    if (one.epoch !== epoch || one.experts !== experts || steps.length !== sets * experts) continue
+    sum ??= Array.from({ length: sets }, () => new Array<number>(experts).fill(0))
+    steps.forEach((step, index) => { sum![Math.floor(index / experts)]![index % experts]! += step * one.scale })
+  }
+  return sum
+}
--- a/standins/fault-proxy.ts
+++ b/standins/fault-proxy.ts
@@ -112,8 +112,9 @@
     if (this.#faults.isCapturing) this.captures.push(link.captured = [])
     this.#links.add(link)
     client.on('close', () => this.#links.delete(link))
-    client.on('error', () => target.destroy())
-    target.on('error', () => client.destroy())
+    // An end in place of a reset would make a body without a length look whole.
+    client.on('error', () => { target.resetAndDestroy() })
+    target.on('error', () => { client.resetAndDestroy() })
     this.#pump(link, client, target, 'toTarget').catch(() => reset(link))
     this.#pump(link, target, client, 'toClient').catch(() => reset(link))
   }
