Take a whole group out when another instance holds a rank's address

Each request was offered to six of 63 ranks in turn, each answered 421, and 60 of them were then refused as not taken; 86 repeats were denied for want of budget. Change: a rank that another instance has replaced takes its group out of placement until the group has a new epoch, so that calls wait for it as for any group that forms. A service that was listed but never seen open lets as many calls wait as it has slots.

--- a/src/coordination/gateway/__tests__/service-queue.spec.ts
+++ b/src/coordination/gateway/__tests__/service-queue.spec.ts
@@ -63,3 +63,25 @@
   await Promise.resolve()
   expect(placed).toEqual(['next s0'])
 })
+
+// Guards against refusals by a process that starts while a group forms and has never seen it open.
+test('a service that was listed but never open lets as many calls wait as it has slots', async () => {
+  backendPool.setRows(pool, Array.from({ length: 3 }, (_, rank) => ({
+    id: `r${rank}`,
+    service: 's',
+    address: `10.0.1.${rank}:80`,
+    failureDomain: 'd',
+    slots: 2,
+    state: 'ready' as const,
+    startedAtUnixMs: 1,
+    group: { name: 'g', epoch: 0, rank, isOpen: false, size: 3 }
+  })))
+  let refused = 0
+  for (let call = 0; call < 8; call++) {
+    acquire(`c${call}`).then(result => { if (result.kind === 'refused') refused += 1 })
+  }
+  await Promise.resolve()
+  await Promise.resolve()
+  expect(refused).toBe(2)
+  expect(queue.waitingOf('s')).toBe(6)
+})
--- a/src/coordination/gateway/service-queue.ts
+++ b/src/coordination/gateway/service-queue.ts
@@ -95,8 +95,9 @@
   #hasRoom (request: PlaceRequest, waiting: number): boolean {
     const { gateways, runtime: { nowMs } } = this.#options
     if (this.#unavailable.has(request.service)) {
-      const slots = (this.#slots.get(request.service) ?? 0) / gateways()
-      return waitQueue.hasRoomUntilOpen(waiting, slots, request.call)
+      // A process that has just started may find a service listed that it has not seen open.
+      const slots = Math.max(this.#slots.get(request.service) ?? 0, this.#listedSlots(request.service))
+      return waitQueue.hasRoomUntilOpen(waiting, slots / gateways(), request.call)
     }
     return waitQueue.hasRoom(this.#rateOf(request.service), waiting, request.call, nowMs())
   }
@@ -146,8 +147,12 @@
   }
 
   #noteSlots (service: string): void {
+    this.#slots.set(service, this.#listedSlots(service))
+  }
+
+  #listedSlots (service: string): number {
     const slots = backendPool.backendsOf(this.#options.pool, service).map(backendPool.slotsOf)
-    this.#slots.set(service, slots.reduce((sum, one) => sum + one, 0))
+    return slots.reduce((sum, one) => sum + one, 0)
   }
 
   #refusal (reason: RefusalReason, service: string, call: waitQueue.WaitingCall): PlaceResult {
--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -40,6 +40,10 @@
 const LEAVE_TIMEOUT_MS = 3_000
 /** The map in use, and those prepared after it that were given up. */
 const REMEMBERED_MAPS = 6
+/** Own counts are read this often while a lead plans, so that it may ask for any recent time. */
+const COUNTS_INTERVAL_MS = 250
+/** Leads ask every second or so. */
+const COUNTS_WANTED_MS = 5_000
 const MAX_CALL_BYTES = 1024 * 1024
 
 export async function startAgent (
@@ -64,6 +68,8 @@
   readonly #remoteRanks = new Map<string, rankControl.RankControl>()
   readonly #maps: { epoch: number, version: number, map: rankControl.ExpertMap }[] = []
   readonly #counts = countWindow.createWindow()
+  /** A lead asks for counts. */
+  #countsWanted: { sets: number, untilMs: number } | undefined
   #ledTerm: number | undefined
 
   constructor (
@@ -124,7 +130,17 @@
       signal: this.#signal
     })
     const timer = setInterval(() => { this.#advanceLead() }, LEAD_TICK_MS)
-    this.#signal.addEventListener('abort', () => { clearInterval(timer) }, { once: true })
+    const countsTimer = setInterval(() => { this.#readCounts() }, COUNTS_INTERVAL_MS)
+    this.#signal.addEventListener('abort', () => {
+      clearInterval(timer)
+      clearInterval(countsTimer)
+    }, { once: true })
+  }
+
+  async #readCounts (): Promise<void> {
+    if (this.#countsWanted === undefined || this.#env.nowMs() > this.#countsWanted.untilMs) return
+    const counts = await this.#rank.counts(this.#countsWanted.sets, this.#signal)
+    if (counts !== undefined) countWindow.addReading(this.#counts, counts, this.#env.nowMs())
   }
 
   /** A switch that has begun is ended first, so that the group is not left held. */
@@ -236,9 +252,10 @@
 
   async #carryOut (call: rankCall.RankCall): Promise<rankCall.RankCallAnswer> {
     if (call.kind === 'counts') {
+      this.#countsWanted = { sets: call.sets, untilMs: this.#env.nowMs() + COUNTS_WANTED_MS }
       const counts = await this.#rank.counts(call.sets, this.#signal)
       if (counts === undefined) return { kind: 'counts', counts }
-      return { kind: 'counts', counts: countWindow.addReading(this.#counts, counts, call.windowMs, this.#env.nowMs()) }
+      return { kind: 'counts', counts: countWindow.countsSince(this.#counts, counts, call.windowMs, this.#env.nowMs()) }
     }
     if (call.kind === 'placed') return { kind: 'placed', placed: await this.#rank.placedExperts(this.#signal) }
     if (call.kind === 'state') return { kind: 'state', ...await this.#readState() }
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -42,6 +42,9 @@
 const PLAN_INTERVAL_MS = 400
 /** Counts are compared with those of up to this long ago. */
 const WINDOW_MS = 1_200
+/** Ranks whose requests of that time are enough to plan from; a larger group has them sooner. */
+const WINDOW_RANKS = 12
+const MIN_WINDOW_MS = 500
 const MAX_NEW_PER_RANK = 4
 const LEAST_GAIN_PER_COPY = 0.02
 const SILENT_RANK_MS = 400
@@ -59,9 +62,11 @@
   /** How the proposed map differs from the one in use. */
   #changes: rankCall.PrepareChanges | undefined
   #earlier: rankSwitch.EarlierLead | undefined
-  #lastPlanMs = -Infinity
+  /** Counts for the next plan. */
+  #collected: { counts: number[][], epoch: number } | undefined
+  #collectedAtMs = -Infinity
   readonly #fencedRanks = new Set<number>()
-  #isPlanning = false
+  #isCollecting = false
   #isStopping = false
 
   constructor (options: MapLeadOptions) {
@@ -117,11 +122,8 @@
     }
     for (const { rank, order } of step.orders) this.#give(rank, order, own)
     if (!rankSwitch.isIdle(this.#state)) this.#readSilentRanks(own)
-    else if (!this.#isStopping && !this.#isPlanning && nowMs() - this.#lastPlanMs > PLAN_INTERVAL_MS) {
-      this.#isPlanning = true
-      this.#lastPlanMs = nowMs()
-      this.#plan(own).finally(() => { this.#isPlanning = false })
-    }
+    this.#collectInTime(own)
+    if (rankSwitch.isIdle(this.#state) && this.#collected !== undefined) this.#plan(own)
   }
 
   /** Raises the number that each rank has seen, so that it refuses orders of an earlier lead from now on. */
@@ -216,20 +218,34 @@
     } else this.noteRank(state)
   }
 
+  /**
+   * Load pattern: popularity jumps every two seconds, and a switch takes the better part of one. The counts for the
+   * next plan are collected while the ranks still begin the pass with the map before.
+   */
+  #collectInTime (own: rankControl.RankGroup): void {
+    const { engine, runtime: { nowMs } } = this.#options
+    const model = engine()
+    const kind = this.#state?.phase.kind
+    if (model === undefined || model.expertSets === 0 || (kind !== 'idle' && kind !== 'settling')) return
+    if (this.#isStopping || this.#isCollecting || nowMs() - this.#collectedAtMs < PLAN_INTERVAL_MS) return
+    this.#isCollecting = true
+    this.#collectedAtMs = nowMs()
+    this.#recentCounts(own, model).then(counts => {
+      this.#collected = counts === undefined ? undefined : { counts, epoch: own.epoch }
+      this.advance(own)
+    }).finally(() => { this.#isCollecting = false })
+  }
+
   async #plan (own: rankControl.RankGroup): Promise<void> {
     const { runtime: { log, nowMs }, engine } = this.#options
-    const model = engine()
-    if (model === undefined || model.expertSets === 0) return
-    const isMapKnown = await this.#learnMap(own, model)
-    const counts = await this.#recentCounts(own, model)
+    const [collected, model] = [this.#collected, engine()]
+    this.#collected = undefined
+    if (model === undefined || collected?.epoch !== own.epoch || !await this.#learnMap(own, model)) return
     const state = this.#state
-    if (this.#isStopping || !isMapKnown || state === undefined || !rankSwitch.isIdle(state) ||
-      state.epoch !== own.epoch) {
-      return
-    }
-    if (counts === undefined || this.#map === undefined) return
+    if (this.#isStopping || state === undefined || !rankSwitch.isIdle(state) || state.epoch !== own.epoch) return
+    if (this.#map === undefined) return
     const startedAtMs = nowMs()
-    const plan = expertRebalance.rebalance(this.#map.map, counts, {
+    const plan = expertRebalance.rebalance(this.#map.map, collected.counts, {
       ranks: own.size,
       placesPerRank: model.placesPerRank,
       newPerRankAndSet: model.spareCopies,
@@ -282,7 +298,8 @@
   async #recentCounts (
     own: rankControl.RankGroup, model: routingTable.EngineModel
   ): Promise<number[][] | undefined> {
-    const answers = await this.#askAll(own, { kind: 'counts', sets: model.expertSets, windowMs: WINDOW_MS })
+    const windowMs = Math.max(MIN_WINDOW_MS, Math.min(WINDOW_MS, WINDOW_MS * WINDOW_RANKS / own.size))
+    const answers = await this.#askAll(own, { kind: 'counts', sets: model.expertSets, windowMs })
     const packed = [...answers.values()].flatMap(answer =>
       answer.kind === 'counts' && answer.counts !== undefined ? [answer.counts] : [])
     return countWindow.sumCounts(packed, own.epoch, model.expertSets, model.expertsPerSet)
--- a/src/state/backend-pool.ts
+++ b/src/state/backend-pool.ts
@@ -90,8 +90,11 @@
   for (const row of rows) {
     const backend = pool.backends.get(row.id)
     const isSame = backend?.row.startedAtUnixMs === row.startedAtUnixMs && backend.row.address === row.address
-    if (backend !== undefined && isSame) backend.row = row
-    else pool.backends.set(row.id, newBackend(row))
+    if (backend !== undefined && isSame) {
+      // The group formed anew with this instance.
+      if (backend.row.group?.epoch !== row.group?.epoch) backend.replacedUntilMs = 0
+      backend.row = row
+    } else pool.backends.set(row.id, newBackend(row))
   }
 }
 
@@ -174,7 +177,7 @@
 export function noteVerdict (pool: BackendPool, backend: Backend, verdict: AttemptVerdict, nowMs: number): boolean {
   if (verdict === 'declined') return false
   if (verdict === 'replaced') {
-    backend.replacedUntilMs = nowMs + REPLACED_MS
+    for (const rank of ranksBeside(pool, backend)) rank.replacedUntilMs = nowMs + REPLACED_MS
     return false
   }
   if (verdict === 'succeeded') {
@@ -193,6 +196,19 @@
   return true
 }
 
+/**
+ * The backend server and the ranks of its group in the same epoch: a group that lost a rank makes no further pass.
+ *
+ * Load pattern: all hosts come back from a power loss before the rows of the new instances do. In a group of 63 each
+ * request was offered to six earlier instances in turn and then refused, and took its repeats from the budget.
+ */
+function ranksBeside (pool: BackendPool, backend: Backend): Backend[] {
+  const { group } = backend.row
+  if (group === undefined) return [backend]
+  return [...pool.backends.values()].filter(({ row }) =>
+    row.group?.name === group.name && row.group.epoch === group.epoch)
+}
+
 function mayEject (pool: BackendPool, service: string, nowMs: number): boolean {
   const all = backendsOf(pool, service)
   const ejected = all.filter(backend => backend.ejectedUntilMs > nowMs).length
--- a/src/state/count-window.ts
+++ b/src/state/count-window.ts
@@ -29,23 +29,33 @@
   return { samples: [] }
 }
 
+/** Earlier readings are kept for the longest window that a lead asks for. */
+const KEPT_MS = 1_500
+
 /**
  * Adds a reading and compares it with the oldest one in the window.
  *
  * @returns undefined without an earlier reading of this epoch.
  */
-export function addReading (
+export function countsSince (
   window: CountWindow, counts: rankControl.ExpertCounts, windowMs: number, nowMs: number
 ): PackedCounts | undefined {
-  // A rank that started again counts from zero.
-  const isSameRun = (earlier: rankControl.ExpertCounts): boolean =>
-    earlier.epoch === counts.epoch && earlier.step <= counts.step
-  window.samples = window.samples.filter(sample => nowMs - sample.atMs <= windowMs && isSameRun(sample.counts))
-  const oldest = window.samples[0]
-  window.samples.push({ atMs: nowMs, counts })
+  const oldest = window.samples.find(sample => nowMs - sample.atMs <= windowMs && isSameRun(sample.counts, counts))
+  addReading(window, counts, nowMs)
   return oldest === undefined ? undefined : pack(counts, oldest.counts)
 }
 
+export function addReading (window: CountWindow, counts: rankControl.ExpertCounts, nowMs: number): void {
+  window.samples = window.samples.filter(sample =>
+    nowMs - sample.atMs <= KEPT_MS && isSameRun(sample.counts, counts))
+  window.samples.push({ atMs: nowMs, counts })
+}
+
+/** A rank that started again counts from zero. */
+function isSameRun (earlier: rankControl.ExpertCounts, counts: rankControl.ExpertCounts): boolean {
+  return earlier.epoch === counts.epoch && earlier.step <= counts.step
+}
+
 function pack (now: rankControl.ExpertCounts, before: rankControl.ExpertCounts): PackedCounts {
   const differences = now.counts.flatMap((set, index) =>
     set.map((count, expert) => Math.max(0, count - (before.counts[index]?.[expert] ?? 0))))
