--- a/src/coordination/ranks/__tests__/lead-election.spec.ts
+++ b/src/coordination/ranks/__tests__/lead-election.spec.ts
@@ -12,12 +12,14 @@
 let controller: AbortController
 let row: controlStore.StoredRow | undefined
 let taken: number[]
+let storeDelayMs = 0
 
 beforeEach(() => {
   vi.useFakeTimers()
   controller = new AbortController()
   row = undefined
   taken = []
+  storeDelayMs = 0
   elections = new Map()
 })
 
@@ -27,7 +29,10 @@
 })
 
 const store: controlStore.ControlStore = {
-  list: async () => ({ kind: 'ok', value: { rows: row === undefined ? [] : [row], revision: row?.revision ?? 0 } }),
+  list: async () => {
+    if (storeDelayMs > 0) await new Promise(resolve => { setTimeout(resolve, storeDelayMs) })
+    return { kind: 'ok', value: { rows: row === undefined ? [] : [row], revision: row?.revision ?? 0 } }
+  },
   changes: async () => ({ kind: 'unavailable', reason: 'not used' }),
   write: async ([write], [condition]) => {
     if ((row?.revision ?? 0) !== condition!.revision) return { kind: 'conflict', rows: [] }
@@ -70,6 +75,16 @@
   expect(taken).toHaveLength(1)
 })
 
+test('a lead that is heard while the store answers is not replaced', async () => {
+  storeDelayMs = 100
+  for (let rank = 0; rank < RANKS; rank++) {
+    startAgent(rank, 0)
+    await vi.advanceTimersByTimeAsync(7)
+  }
+  await vi.advanceTimersByTimeAsync(SETTLED_MS)
+  expect(taken).toHaveLength(1)
+})
+
 test('a recorded lead that stays silent is replaced', async () => {
   row = {
     table: 't', partition: '', key: 'g', revision: 4, value: Buffer.from(JSON.stringify({ term: 7, address: '10.0.0.50:1' }))
--- a/src/coordination/ranks/lead-election.ts
+++ b/src/coordination/ranks/lead-election.ts
@@ -94,7 +94,7 @@
     }
     this.#lastTryMs = nowMs()
     this.#isTrying = true
-    this.#takeOver(own.group).finally(() => { this.#isTrying = false })
+    this.#takeOver(own).finally(() => { this.#isTrying = false })
   }
 
   /** The lowest rank whose agent lives takes over a silent lead. */
@@ -123,10 +123,12 @@
     clusterView.learnAddresses(peers.view, [recorded.address], nowMs())
   }
 
-  async #takeOver (group: string): Promise<void> {
+  async #takeOver (own: clusterView.PeerRank): Promise<void> {
+    const { group } = own
     const { runtime: { log }, store, address, signal } = this.#options
     const listed = await store.list(TABLE, '', signal)
-    if (listed.kind !== 'ok') return
+    // A lead may have been heard while the store answered.
+    if (listed.kind !== 'ok' || !this.#shouldTakeOver(own)) return
     const row = listed.value.rows.find(candidate => candidate.key === group)
     const recorded = leadOf(row?.value)
     if (recorded !== undefined && this.#isUnheard(recorded)) {
