Let a higher rank lead when the lower ones stay silent

Cause: in a group of 63 an agent counts as alive for six seconds after its last message, and a higher rank did not take over while a lower one counted as alive. When a lead and further agents end together, no map is switched for that long. Change: a rank waits 0.4 s longer for each lower rank that seems to live; the store's condition decides between two.

--- a/src/coordination/ranks/__tests__/lead-election.spec.ts
+++ b/src/coordination/ranks/__tests__/lead-election.spec.ts
@@ -13,6 +13,8 @@
 let row: controlStore.StoredRow | undefined
 let taken: number[]
 let storeDelayMs = 0
+/** Ranks whose agents the others have not yet missed. */
+let takenAsAlive: number[] = []
 
 beforeEach(() => {
   vi.useFakeTimers()
@@ -20,6 +22,7 @@
   row = undefined
   taken = []
   storeDelayMs = 0
+  takenAsAlive = []
   elections = new Map()
 })
 
@@ -43,6 +46,22 @@
 
 let elections: Map<string, leadElection.LeadElection>
 
+function peerOf (rank: number): clusterView.Peer {
+  return {
+    heardAtMs: 0,
+    status: {
+      address: `10.0.0.${rank}:7000`,
+      role: 'agent',
+      failureDomain: 'd',
+      state: 'ready',
+      clientAddress: '',
+      configurationVersion: 0,
+      backendRevision: 0,
+      rank: { group: 'g', rank, address: '10.0.0.99:1' }
+    }
+  }
+}
+
 /** An agent that has heard no other one; messages of a lead arrive from `hearsFromMs` on. */
 function startAgent (rank: number, hearsFromMs: number): void {
   const address = `10.0.0.${rank}:7000`
@@ -56,7 +75,7 @@
     store,
     peers: {
       view: clusterView.createView(address),
-      alivePeers: () => [],
+      alivePeers: () => takenAsAlive.map(other => peerOf(other)),
       broadcast: message => {
         if (message.kind !== 'lead' || Date.now() < hearsFromMs) return
         for (const other of elections.values()) other.noteLead(message.group, message.term, message.address)
@@ -85,6 +104,13 @@
   expect(taken).toHaveLength(1)
 })
 
+test('when several agents end at once, one of the rest leads before they are missed', async () => {
+  takenAsAlive = [0, 1, 2, 3, 4, 5, 6]
+  for (let rank = 3; rank < 7; rank++) startAgent(rank, 0)
+  await vi.advanceTimersByTimeAsync(SETTLED_MS)
+  expect(taken).toEqual([3])
+})
+
 test('a recorded lead that stays silent is replaced', async () => {
   row = {
     table: 't', partition: '', key: 'g', revision: 4, value: Buffer.from(JSON.stringify({ term: 7, address: '10.0.0.50:1' }))
--- a/src/coordination/ranks/lead-election.ts
+++ b/src/coordination/ranks/lead-election.ts
@@ -27,6 +27,8 @@
 /** A timer that fires this late means that the process or its host stood still; another agent may lead by now. */
 const STANDSTILL_MS = 700
 const RETRY_TAKEOVER_MS = 500
+/** A lower rank that lives leads and is heard within this time after its own turn. */
+const TURN_MS = 400
 
 export class LeadElection {
   /** Number of this agent's lead; undefined while another agent leads. */
@@ -97,13 +99,17 @@
     this.#takeOver(own).finally(() => { this.#isTrying = false })
   }
 
-  /** The lowest rank whose agent lives takes over a silent lead. */
+  /**
+   * The lowest rank whose agent lives takes over a silent lead. The others wait longer the more lower ranks seem to
+   * live. Load pattern: many agents end at once, and in a large group each counts as alive for seconds.
+   */
   #shouldTakeOver (own: clusterView.PeerRank): boolean {
     const { runtime: { nowMs }, peers } = this.#options
-    if (nowMs() - this.#startedAtMs < LISTEN_FIRST_MS || nowMs() - this.#leadHeardAtMs < LEAD_SILENT_MS) return false
-    // The silent lead itself may count as alive for longer than a lead may be silent.
-    return peers.alivePeers('agent').every(({ status: { address, rank } }) =>
-      address === this.leadAddress || rank === undefined || rank.group !== own.group || rank.rank > own.rank)
+    // The silent lead itself may count as alive, too.
+    const lower = peers.alivePeers('agent').filter(({ status: { address, rank } }) =>
+      address !== this.leadAddress && rank?.group === own.group && rank.rank < own.rank)
+    const silentSinceMs = Math.max(this.#leadHeardAtMs, this.#startedAtMs + LISTEN_FIRST_MS - LEAD_SILENT_MS)
+    return nowMs() - silentSinceMs >= LEAD_SILENT_MS + lower.length * TURN_MS
   }
 
   /** Whether the store records a lead that this process has had no chance to hear. */
