Take the last change of the configuration in an answer of the store

Cause: the feed holds each change of a row, and the entry took the first one for the latest. Change: the last change counts.

--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -174,7 +174,8 @@
   }
 
   #takeConfiguration (answer: controlStore.RowsAnswer): void {
-    const row = answer.rows.find(candidate => candidate.key === this.#adapter.configurationRow.key)
+    // An answer holds each change of the row, the latest one last.
+    const row = answer.rows.findLast(candidate => candidate.key === this.#adapter.configurationRow.key)
     if (row?.value === undefined) return
     const decoded = this.#adapter.decodeConfiguration(row.value)
     if (decoded.kind === 'ok') {
