Tell counts of small groups in whole bytes

In a group of 12 ranks the random rounding to 15 steps is not averaged out, and the few bytes that it saves are not needed. Change: up to 512 counts are told in one byte each, more in half a byte.

--- a/src/state/__tests__/count-window.spec.ts
+++ b/src/state/__tests__/count-window.spec.ts
@@ -40,12 +40,15 @@
 
 test('the sum over the ranks is right on average, also for experts that are seldom chosen', () => {
   const random = pureRandom()
+  // As many experts as in a large group, so that the counts are told in half bytes.
+  const rest = new Array<number>(1_997).fill(0)
   const packed = Array.from({ length: 63 }, () => {
     const window = countWindow.createWindow()
-    countWindow.addReading(window, { epoch: 1, step: 1, counts: [[0, 0, 0]] }, 0)
-    return countWindow.countsSince(window, { epoch: 1, step: 2, counts: [[150, 40, 3]] }, WINDOW_MS, 1, random)!
+    countWindow.addReading(window, { epoch: 1, step: 1, counts: [[0, 0, 0, ...rest]] }, 0)
+    const counts = { epoch: 1, step: 2, counts: [[150, 40, 3, ...rest]] }
+    return countWindow.countsSince(window, counts, WINDOW_MS, 1, random)!
   })
-  const [[often, sometimes, seldom]] = countWindow.sumCounts(packed, 1, 1, 3) as [[number, number, number]]
+  const [often, sometimes, seldom] = countWindow.sumCounts(packed, 1, 1, 2_000)![0] as [number, number, number]
   expect(often).toBe(63 * 150)
   expect(Math.abs(sometimes / 63 - 40)).toBeLessThan(3)
   expect(Math.abs(seldom / 63 - 3)).toBeLessThan(2)
--- a/src/state/count-window.ts
+++ b/src/state/count-window.ts
@@ -13,18 +13,21 @@
   samples: { atMs: number, counts: rankControl.ExpertCounts }[]
 }
 
-/** Differences of the counts in 15 steps, rounded at random so that the sum over the ranks is right on average. */
+/** Differences of the counts in steps, rounded at random so that the sum over the ranks is right on average. */
 export interface PackedCounts {
   epoch: number
   /** Experts in each set. */
   experts: number
   /** Requests that one step stands for. */
   scale: number
-  /** Half a byte for each expert of each set, in base64. */
+  /** One byte for each expert of each set, or half a byte where there are many, in base64. */
   steps: string
 }
 
-const MAX_STEP = 15
+/** Counts that are told in whole bytes; more of them from each rank of a large group fill the lead's link. */
+const FINE_COUNTS = 512
+const MAX_FINE_STEP = 255
+const MAX_COARSE_STEP = 15
 
 export function createWindow (): CountWindow {
   return { samples: [] }
@@ -62,28 +65,39 @@
 ): PackedCounts {
   const differences = now.counts.flatMap((set, index) =>
     set.map((count, expert) => Math.max(0, count - (before.counts[index]?.[expert] ?? 0))))
-  const scale = Math.max(1, ...differences) / MAX_STEP
-  const bytes = Buffer.alloc(Math.ceil(differences.length / 2))
-  differences.forEach((count, index) => {
-    const step = Math.min(MAX_STEP, Math.floor(count / scale + random()))
-    bytes[index >> 1]! |= index % 2 === 0 ? step : step << 4
-  })
+  const isFine = differences.length <= FINE_COUNTS
+  const maxStep = isFine ? MAX_FINE_STEP : MAX_COARSE_STEP
+  const scale = Math.max(1, ...differences) / maxStep
+  const steps = differences.map(count => Math.min(maxStep, Math.floor(count / scale + random())))
+  const bytes = isFine ? Buffer.from(steps) : halfBytes(steps)
   return { epoch: now.epoch, experts: now.counts[0]?.length ?? 0, scale, steps: bytes.toString('base64') }
 }
 
+function halfBytes (steps: readonly number[]): Buffer {
+  const bytes = Buffer.alloc(Math.ceil(steps.length / 2))
+  steps.forEach((step, index) => { bytes[index >> 1]! |= index % 2 === 0 ? step : step << 4 })
+  return bytes
+}
+
+/** @returns undefined where the steps are not as many as expected. */
+function unpackSteps (packed: string, count: number): number[] | undefined {
+  const bytes = Buffer.from(packed, 'base64')
+  if (count <= FINE_COUNTS) return bytes.length === count ? [...bytes] : undefined
+  if (bytes.length !== Math.ceil(count / 2)) return undefined
+  return Array.from({ length: count }, (_, index) =>
+    index % 2 === 0 ? bytes[index >> 1]! & MAX_COARSE_STEP : bytes[index >> 1]! >> 4)
+}
+
 /** Adds up what the ranks chose. @returns by set; undefined when no rank has counts of this epoch and shape. */
 export function sumCounts (
   packed: readonly PackedCounts[], epoch: number, sets: number, experts: number
 ): number[][] | undefined {
   let sum: number[][] | undefined
   for (const one of packed) {
-    const bytes = Buffer.from(one.steps, 'base64')
-    if (one.epoch !== epoch || one.experts !== experts || bytes.length !== Math.ceil(sets * experts / 2)) continue
+    const steps = unpackSteps(one.steps, sets * experts)
+    if (one.epoch !== epoch || one.experts !== experts || steps === undefined) continue
     sum ??= Array.from({ length: sets }, () => new Array<number>(experts).fill(0))
-    for (let index = 0; index < sets * experts; index++) {
-      const step = index % 2 === 0 ? bytes[index >> 1]! & MAX_STEP : bytes[index >> 1]! >> 4
-      sum[Math.floor(index / experts)]![index % experts]! += step * one.scale
-    }
+    steps.forEach((step, index) => { sum![Math.floor(index / experts)]![index % experts]! += step * one.scale })
   }
   return sum
 }
