Take a group out only when several of its ranks in a row are replaced

Change: three different ranks in a row without a success between take the group out, for half a second.

--- a/src/state/backend-pool.ts
+++ b/src/state/backend-pool.ts
@@ -64,6 +64,8 @@
   backends: Map<string, Backend>
   /** By group. */
   progress: Map<string, GroupProgress>
+  /** Ranks of a group in an epoch whose addresses other instances hold, since the last success there. */
+  replacedRanks: Map<string, Set<string>>
   /** Smoothed time from sending a request to the first event or whole response, by service. */
   firstResponseMs: Map<string, number>
 }
@@ -76,17 +78,23 @@
 const EJECTION_MAX_MS = 8_000
 /** A new instance is listed within about this time; after it the address is tried again. */
 const REPLACED_MS = 2_000
+/** Different ranks in a row that other instances hold; more than restart alone in a group of a dozen. */
+const REPLACED_RANKS = 3
+/** A group that is taken out is tried again with the next request after this time. */
+const REPLACED_GROUP_MS = 500
 /** Largest share of a service's backend servers that is out of rotation at a time. */
 const MAX_EJECTED_SHARE = 0.5
 
 export function createPool (): BackendPool {
-  return { backends: new Map(), progress: new Map(), firstResponseMs: new Map() }
+  return { backends: new Map(), progress: new Map(), replacedRanks: new Map(), firstResponseMs: new Map() }
 }
 
 /** Takes the rows in force. What was believed of another incarnation under the same id is dropped. */
 export function setRows (pool: BackendPool, rows: readonly BackendRow[]): void {
   const known = new Set(rows.map(row => row.id))
   for (const id of pool.backends.keys()) if (!known.has(id)) pool.backends.delete(id)
+  const groups = new Set(rows.map(row => row.group === undefined ? '' : groupKey(row.group)))
+  for (const key of pool.replacedRanks.keys()) if (!groups.has(key)) pool.replacedRanks.delete(key)
   for (const row of rows) {
     const backend = pool.backends.get(row.id)
     const isSame = backend?.row.startedAtUnixMs === row.startedAtUnixMs && backend.row.address === row.address
@@ -177,10 +185,12 @@
 export function noteVerdict (pool: BackendPool, backend: Backend, verdict: AttemptVerdict, nowMs: number): boolean {
   if (verdict === 'declined') return false
   if (verdict === 'replaced') {
-    for (const rank of ranksBeside(pool, backend)) rank.replacedUntilMs = nowMs + REPLACED_MS
+    backend.replacedUntilMs = nowMs + REPLACED_MS
+    noteReplacedRank(pool, backend, nowMs)
     return false
   }
   if (verdict === 'succeeded') {
+    if (backend.row.group !== undefined) pool.replacedRanks.delete(groupKey(backend.row.group))
     backend.failuresInRow = 0
     backend.ejections = 0
     return false
@@ -197,16 +207,27 @@
 }
 
 /**
- * The backend server and the ranks of its group in the same epoch: a group that lost a rank makes no further pass.
+ * Takes a group out when several of its ranks in a row are held by other instances.
  *
  * Load pattern: all hosts come back from a power loss before the rows of the new instances do. In a group of 63 each
- * request was offered to six earlier instances in turn and then refused, and took its repeats from the budget.
+ * request was offered to six earlier instances in turn and then refused, and took its repeats from the budget. A single
+ * rank that started again says nothing of the others: while the store is away, its row may be an earlier one for long.
  */
-function ranksBeside (pool: BackendPool, backend: Backend): Backend[] {
+function noteReplacedRank (pool: BackendPool, backend: Backend, nowMs: number): void {
   const { group } = backend.row
-  if (group === undefined) return [backend]
-  return [...pool.backends.values()].filter(({ row }) =>
-    row.group?.name === group.name && row.group.epoch === group.epoch)
+  if (group === undefined) return
+  const replaced = pool.replacedRanks.get(groupKey(group)) ?? new Set<string>()
+  pool.replacedRanks.set(groupKey(group), replaced.add(backend.row.id))
+  if (replaced.size < REPLACED_RANKS) return
+  for (const other of pool.backends.values()) {
+    if (other.row.group === undefined || groupKey(other.row.group) !== groupKey(group)) continue
+    other.replacedUntilMs = Math.max(other.replacedUntilMs, nowMs + REPLACED_GROUP_MS)
+  }
+}
+
+/** A group in one of its epochs. */
+function groupKey (group: GroupMembership): string {
+  return `${group.name} ${group.epoch}`
 }
 
 function mayEject (pool: BackendPool, service: string, nowMs: number): boolean {
