Deliver messages that an effect posts to its own task

Cause: `fromEvent` of `most` buffers events and clears the buffer after delivering the first ones, so a message that an effect posts to its own task was dropped. Pushes of configuration changes and of recorded stops were lost, and peers learned of them at the next heartbeat or poll (0 to 2 s). Change: `post` emits in a microtask, which runs after the delivery.

--- a/playground/__tests__/claim-sharing.spec.ts
+++ b/playground/__tests__/claim-sharing.spec.ts
@@ -2,6 +2,7 @@
 import * as vitest from 'vitest'
 import xxhash from 'xxhash-wasm'
 import type * as rendezvous from '../../src/state/rendezvous.js'
+import * as logEvents from '../../src/protocol/log-events.js'
 import * as claimSharing from '../../src/state/claim-sharing.js'
 import * as faultProxy from '../../standins/fault-proxy.js'
 import * as cluster from '../cluster.js'
@@ -41,6 +42,11 @@
     const calls = deployment.entries.map((_, index) => send(index, crypto.randomUUID()))
     return (await Promise.all(calls)).every(answer => answer.outcome === 'completed' && answer.durationMs < 100)
   })
+  // While the entries start, one may not answer another in time. Then the other avoids it as the writer for a while.
+  const isAvoided = (): boolean => deployment.entries.some(node => node.process.lines.some(line =>
+    line['event'] === logEvents.logEvents.claimWriterAvoided.number &&
+    Date.now() - Date.parse(line['timestamp'] as string) < claimSharing.AVOIDANCE_MS))
+  await cluster.waitFor('no entry avoids another', 3 * claimSharing.AVOIDANCE_MS, () => !isAvoided())
 })
 
 vitest.afterEach(async () => {
@@ -196,7 +202,8 @@
   const before = await countTableWrites()
   const answer = await send(sender, key)
   vitest.expect(answer.outcome).toBe('completed')
-  // One write by the writer, and one by the entry after it waited for the writer's answer.
+  // One write by the writer, and one by the entry after it waited for the writer's answer. The first may be the later.
+  await cluster.waitFor('both have written', 2_000, async () => await countTableWrites() - before >= 2)
   vitest.expect(await countTableWrites() - before).toBe(2)
   vitest.expect(answer.durationMs).toBeGreaterThan(100)
   vitest.expect(answer.durationMs).toBeLessThan(1_000)
--- a/src/coordination/agent-reporter.ts
+++ b/src/coordination/agent-reporter.ts
@@ -118,7 +118,8 @@
 
   /**
    * Closes homes that are no longer chosen. One that is still connected stays open until all chosen homes have been
-   * connected long enough to report the agent to their peers.
+   * connected long enough to report the agent to their peers, and as long as fewer homes are chosen than an agent needs:
+   * an entry that has just started may list itself alone.
    */
   function closeReplaced (): void {
     const settledBeforeMs = env.nowMs() - HOME_OVERLAP_MS
@@ -128,7 +129,7 @@
     })
     for (const [address, home] of homes) {
       if (chosen.includes(address)) continue
-      if (home.outbox !== undefined && answered.length < chosen.length) continue
+      if (home.outbox !== undefined && answered.length < peerChoice.HOMES_PER_AGENT) continue
       home.controller.abort()
       homes.delete(address)
     }
--- a/src/coordination/claim-sharing.ts
+++ b/src/coordination/claim-sharing.ts
@@ -83,7 +83,7 @@
         const answer = handOver(writer, operation)
         if (answer !== undefined) return await answer
         // Entries of another cell have no stream with this one.
-        claimSharing.avoidEntry(state, writer, env.nowMs())
+        avoid(writer, 'no_stream')
       }
     },
     receive (incarnation, message) {
@@ -149,11 +149,15 @@
     if (handover === undefined) return
     clearTimeout(handover.timer)
     handovers.delete(number)
-    claimSharing.avoidEntry(state, handover.incarnation, env.nowMs())
+    avoid(handover.incarnation, 'no_answer')
     env.metrics.count('entry.claims_unanswered', 1)
     directWriter.write(handover.operation).then(handover.settle, () => handover.settle({ kind: 'unavailable' }))
   }
 
+  function avoid (incarnation: string, reason: 'no_stream' | 'no_answer'): void {
+    if (claimSharing.avoidEntry(state, incarnation, env.nowMs())) env.log.emit('claimWriterAvoided', { incarnation, reason })
+  }
+
   function handleHandover (incarnation: string, handover: controlPb.ClaimHandover): void {
     const operation = claimMessages.handoverFromMessage(handover)
     if (operation === undefined) return
--- a/src/coordination/configuration-peers.ts
+++ b/src/coordination/configuration-peers.ts
@@ -34,6 +34,8 @@
 }
 
 const FETCH_TIMEOUT_MS = 2_000
+/** A peer that has sent no complete answer for this long does not delay the question to the next one. */
+const NEXT_PEER_DELAY_MS = 250
 /** Enough peers for a meaningful majority, and few enough that every entry can ask as many when it starts. */
 const MAX_ASKED_PEERS = 8
 /** With documents of a few KB, keeps a batch far below the message limit of 4 MB. */
@@ -79,15 +81,28 @@
     return { isConfirmed: last.confirmed, hasCopy: last.held }
   }
 
+  /**
+   * The copy is confirmed as soon as the answers so far allow it: an unreachable peer delays its own answer until the
+   * timeout, and an entry without a confirmed copy refuses callers meanwhile.
+   */
   async function confirmWithPeers (): Promise<void> {
     const startedAtMs = env.nowMs()
     const asked = parts.knownPeers().slice(0, MAX_ASKED_PEERS)
-    const answers: (FetchedAnswer | undefined)[] = []
-    const rest = [...asked]
-    // One peer at a time until there is a snapshot: the others then send only newer changes.
-    while (rest.length > 0 && !answers.some(answer => answer?.hasCopy)) answers.push(await fetchFrom(rest.shift()!))
-    answers.push(...await Promise.all(rest.map(fetchFrom)))
-    const withCopy = answers.filter(answer => answer?.hasCopy === true) as FetchedAnswer[]
+    const withCopy: FetchedAnswer[] = []
+    const pending: Promise<void>[] = []
+    const ask = async (peerAddress: string): Promise<void> => {
+      const answer = await fetchFrom(peerAddress)
+      if (answer?.hasCopy !== true) return
+      withCopy.push(answer)
+      if (freshness.isConfirmedByPeers(asked.length, withCopy)) parts.guard.confirm(startedAtMs)
+    }
+    // One peer after the other until there is a snapshot: the others then send only newer changes.
+    for (const peerAddress of asked) {
+      const answered = ask(peerAddress)
+      pending.push(answered)
+      if (withCopy.length === 0) await Promise.race([answered, sleep(NEXT_PEER_DELAY_MS)])
+    }
+    await Promise.all(pending)
     if (!parts.guard.hasCopy() && withCopy.length === 0) return
     if (freshness.isConfirmedByPeers(asked.length, withCopy)) parts.guard.confirm(startedAtMs)
   }
@@ -114,3 +129,7 @@
     }
   }
 }
+
+async function sleep (ms: number): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, ms).unref() })
+}
--- a/src/coordination/configuration-sync.ts
+++ b/src/coordination/configuration-sync.ts
@@ -104,7 +104,12 @@
       submissions = result.catch(() => {})
       return result
     },
-    audit: afterRevision => changeLog.readChanges(table, afterRevision, signal),
+    async audit (afterRevision) {
+      const changes = await changeLog.readChanges(table, afterRevision, signal)
+      // Otherwise the table service counts as unavailable until the next poll although it has just answered.
+      noteAvailability(changes.kind === 'ok')
+      return changes
+    },
     confirmedAgeMs: () => env.nowMs() - confirmedAtMs,
     confirm: ageMs => { confirmedAtMs = Math.max(confirmedAtMs, env.nowMs() - ageMs) },
     isTableAvailable: () => tableAvailable
--- a/src/coordination/task.ts
+++ b/src/coordination/task.ts
@@ -43,5 +43,7 @@
     }, definition.initial)
     .observe(effects => { effects.forEach(definition.perform) })
     .then(() => undefined, definition.onBroken)
-  return { post: message => { mailbox.emit('message', message) }, done }
+  // `fromEvent` drops events that are emitted while it delivers others, so that a message posted by an effect would be
+  // lost. A microtask runs after that delivery.
+  return { post: message => { queueMicrotask(() => { mailbox.emit('message', message) }) }, done }
 }
--- a/src/state/claim-sharing.ts
+++ b/src/state/claim-sharing.ts
@@ -18,7 +18,7 @@
 /** Long enough that one or two claims do not look like a high rate, short enough to follow a surge. */
 const RATE_WINDOW_MS = 5_000
 /** Long enough for the heartbeats of a dead entry to end before it is tried again. */
-const AVOIDANCE_MS = 5_000
+export const AVOIDANCE_MS = 5_000
 
 export function createClaimSharing (): ClaimSharing {
   return { ratePerSecond: 0, countedAtMs: -Infinity, avoidedUntilMs: new Map() }
@@ -31,8 +31,11 @@
   sharing.countedAtMs = nowMs
 }
 
-export function avoidEntry (sharing: ClaimSharing, incarnation: string, nowMs: number): void {
+/** @returns whether the entry was not avoided before. */
+export function avoidEntry (sharing: ClaimSharing, incarnation: string, nowMs: number): boolean {
+  const isNew = (sharing.avoidedUntilMs.get(incarnation) ?? -Infinity) <= nowMs
   sharing.avoidedUntilMs.set(incarnation, nowMs + AVOIDANCE_MS)
+  return isNew
 }
 
 /** Ends the avoidance of an entry that answers again. */
