--- a/src/coordination/__tests__/agent-reporter.spec.ts
+++ b/src/coordination/__tests__/agent-reporter.spec.ts
@@ -32,7 +32,8 @@
         home.connected += 1
         try {
           yield protobuf.create(controlPb.EntryMessageSchema, { entries: listed(home).map(identityOf) })
-          for await (const _ of requests) if (ended.signal.aborted) return
+          const messages = requests[Symbol.asyncIterator]()
+          while ((await messages.next()).done !== true && !ended.signal.aborted);
         } finally {
           home.connected -= 1
         }
--- a/src/coordination/__tests__/configuration-peers.spec.ts
+++ b/src/coordination/__tests__/configuration-peers.spec.ts
@@ -45,7 +45,8 @@
     { nowMs: () => performance.now() } as environment.Environment,
     {
       task: {
-        read: async (reader: (copy: configuration.Configuration) => unknown) => reader(configuration.createConfiguration()),
+        read: async (reader: (copy: configuration.Configuration) => unknown) =>
+          reader(configuration.createConfiguration()),
         apply: async () => ({ kind: 'applied' }),
         replace: async () => ({ kind: 'applied' })
       } as unknown as configurationTask.ConfigurationTask,
--- a/src/coordination/agent-reporter.ts
+++ b/src/coordination/agent-reporter.ts
@@ -118,8 +118,8 @@
 
   /**
    * Closes homes that are no longer chosen. One that is still connected stays open until all chosen homes have been
-   * connected long enough to report the agent to their peers, and as long as fewer homes are chosen than an agent needs:
-   * an entry that has just started may list itself alone.
+   * connected long enough to report the agent to their peers, and as long as fewer homes are chosen than an agent
+   * needs: an entry that has just started may list itself alone.
    */
   function closeReplaced (): void {
     const settledBeforeMs = env.nowMs() - HOME_OVERLAP_MS
--- a/src/coordination/cluster/__tests__/table-watch.spec.ts
+++ b/src/coordination/cluster/__tests__/table-watch.spec.ts
@@ -1,4 +1,5 @@
 import * as vitest from 'vitest'
+import * as feedSchedule from '../../../state/feed-schedule.js'
 import * as tableWatch from '../table-watch.js'
 import type * as controlStore from '../../../protocol/control-store.js'
 
@@ -39,7 +40,7 @@
     runtime: { nowMs: () => Date.now(), random: () => 0.5, log: { emit: () => {} }, metrics: {} as never },
     store,
     table: 't',
-    waitMs: 2_500,
+    schedule: () => feedSchedule.feedSchedule('a', []),
     onSnapshot: () => {},
     onChanges: answer => { for (const row of answer.rows) receivedAtMs.set(row.revision.number, Date.now()) },
     onAvailable: () => {},
--- a/src/coordination/cluster/table-watch.ts
+++ b/src/coordination/cluster/table-watch.ts
@@ -5,6 +5,7 @@
 
 import * as timers from 'node:timers/promises'
 import type * as controlStore from '../../protocol/control-store.js'
+import type * as feedSchedule from '../../state/feed-schedule.js'
 import type * as revisionModule from '../../state/revision.js'
 import type * as runtime from '../runtime.js'
 
@@ -12,8 +13,8 @@
   runtime: runtime.Runtime
   store: controlStore.ControlStore
   table: string
-  /** Maximum wait for a change in one call. */
-  waitMs: number
+  /** Waits for a change in one call, and after changes. */
+  schedule: () => feedSchedule.FeedSchedule
   onSnapshot: (answer: controlStore.RowsAnswer) => void
   onChanges: (answer: controlStore.RowsAnswer) => void
   /** Called when the store answers again after failed calls. */
@@ -24,11 +25,6 @@
 /** Calls to the store cost money and count against its limit even when it refuses them, so retries are spread out. */
 const RETRY_MIN_MS = 150
 const RETRY_MAX_MS = 600
-/**
- * Delay after changes, so that the following ones arrive in one answer. All backend servers of a large deployment
- * register within a second or two; without the delay each of forty entries would call the store again for each of them.
- */
-const BATCH_DELAY_MS = 150
 
 /** Resolves when the signal aborts. */
 export async function watchTable (options: TableWatchOptions): Promise<void> {
@@ -38,7 +34,7 @@
   while (!signal.aborted) {
     const answer: controlStore.StoreOutcome<controlStore.RowsAnswer> = revision === undefined
       ? await store.list(table, '', signal)
-      : await store.changes(table, revision, options.waitMs, signal)
+      : await store.changes(table, revision, options.schedule().waitMs, signal)
     if (signal.aborted) return
     if (answer.kind === 'ok') {
       if (failures > 0) {
@@ -50,7 +46,7 @@
       else if (answer.value.rows.length > 0) options.onChanges(answer.value)
       const hasChanges = revision !== undefined && answer.value.rows.length > 0
       revision = answer.value.revision
-      if (hasChanges) await sleep(BATCH_DELAY_MS, signal)
+      if (hasChanges) await sleep(options.schedule().batchDelayMs, signal)
       continue
     }
     if (answer.kind === 'history_lost') {
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -10,6 +10,7 @@
 import * as backendPool from '../../state/backend-pool.js'
 import * as backendTable from '../../state/backend-table.js'
 import * as clusterView from '../../state/cluster-view.js'
+import * as feedSchedule from '../../state/feed-schedule.js'
 import * as crashRecord from '../../state/crash-record.js'
 import * as peerSchedule from '../../state/peer-schedule.js'
 import * as bufferBudget from '../../transport/buffer-budget.js'
@@ -29,8 +30,6 @@
 import type * as runtime from '../runtime.js'
 import type * as context from './context.js'
 
-/** Maximum wait for a change in one call to the store; a dead connection is detected after it. */
-const MAX_CHANGE_WAIT_MS = 2_500
 /** Fraction of the shutdown time in which new requests are accepted, since clients cache addresses for a while. */
 const ACCEPT_SHUTDOWN_FRACTION = 0.55
 /** Fraction of the shutdown time after which the process exits even with requests in flight. */
@@ -149,7 +148,10 @@
 
   #watchStore (): void {
     const { store, configurationRow, backendTable: backends } = this.#adapter
-    const shared = { runtime: this.#env, store, waitMs: MAX_CHANGE_WAIT_MS, signal: this.#signal }
+    const schedule = (): feedSchedule.FeedSchedule => feedSchedule.feedSchedule(
+      this.#options.peerAddress, this.#peers.alivePeers('entry').map(peer => peer.status.address)
+    )
+    const shared = { runtime: this.#env, store, schedule, signal: this.#signal }
     const applyRow = (answer: controlStore.RowsAnswer): void => { this.#applyConfigurationRow(answer) }
     tableWatch.watchTable({
       ...shared,
--- a/src/coordination/ranks/__tests__/lead-election.spec.ts
+++ b/src/coordination/ranks/__tests__/lead-election.spec.ts
@@ -12,6 +12,8 @@
 let controller: AbortController
 let row: controlStore.StoredRow | undefined
 let era = 0
+/** Whether calls reach the lead, also while its datagrams are lost. */
+let canAskLead = false
 let leads: number[]
 let storeDelayMs = 0
 /** Ranks that the agents count as alive. */
@@ -22,6 +24,7 @@
   controller = new AbortController()
   row = undefined
   era = 0
+  canAskLead = false
   leads = []
   storeDelayMs = 0
   countedAlive = []
@@ -81,6 +84,7 @@
     peers: {
       view: clusterView.createView(address),
       alivePeers: () => countedAlive.map(other => peerOf(other)),
+      sendTo: () => {},
       broadcast: message => {
         if (message.kind !== 'lead' || Date.now() < receivesFromMs) return
         for (const other of elections.values()) other.noteLead(message.group, message.term, message.address)
@@ -88,6 +92,7 @@
     },
     address,
     ownRank: () => ({ group: 'g', rank, address: '10.0.0.99:1' }),
+    askTerm: async lead => canAskLead ? elections.get(lead)?.term : undefined,
     storeEra: () => era,
     signal: controller.signal
   }))
@@ -130,3 +135,13 @@
   expect(leads).toEqual([3])
   expect([...elections.values()].at(-1)!.term).toBe(8)
 })
+
+// Guards against agents that replace each other every two seconds while the orders of a lead fill the link of its host,
+// so that its datagrams are lost.
+test('a lead whose datagrams are lost is asked before it is replaced', async () => {
+  canAskLead = true
+  row = { table: 't', partition: '', key: 'g', revision: { era: 0, number: 4 }, value: Buffer.from(JSON.stringify({ term: 7, address: '10.0.0.50:1' })) }
+  for (let rank = 0; rank < 4; rank++) startAgent(rank, Infinity)
+  await vi.advanceTimersByTimeAsync(5 * ELECTION_MS)
+  expect(leads).toHaveLength(1)
+})
--- a/src/coordination/ranks/__tests__/lead-restore.spec.ts
+++ b/src/coordination/ranks/__tests__/lead-restore.spec.ts
@@ -82,7 +82,7 @@
   const random = randomOf(seed)
   const store = new SimulatedStore()
   const controller = new AbortController()
-  events.setMaxListeners(0, controller.signal)
+  events.EventEmitter.setMaxListeners(0, controller.signal)
   const takenBy = new Map<number, string>()
   const agents: Agent[] = []
   const delay = (): Promise<void> => new Promise(resolve => { setTimeout(resolve, random() * 120) })
@@ -127,6 +127,7 @@
       peers: {
         view: clusterView.createView(address),
         alivePeers: () => [],
+        sendTo: () => {},
         broadcast: message => {
           if (message.kind !== 'lead') return
           for (const other of agents) {
@@ -137,12 +138,18 @@
       },
       address,
       ownRank: () => ({ group: 'g', rank, address: '10.0.0.99:1' }),
+      askTerm: async lead => await askTerm(agent, lead),
       storeEra: () => agent.era,
       signal: controller.signal
     })
     const agent: Agent = { election, isCutOff: false, era: 1 }
     agents.push(agent)
   }
+  const askTerm = async (asking: Agent, lead: string): Promise<number | undefined> => {
+    await delay()
+    const asked = agents.find((_, rank) => lead === `10.0.0.${rank}:1`)!
+    return asked.isCutOff || asking.isCutOff ? undefined : asked.election.term
+  }
   /** Entries watch the store and state its era to the agents. */
   const spreadEra = (): void => {
     if (store.isDown) return
--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -6,9 +6,7 @@
 import * as http from 'node:http'
 import * as timers from 'node:timers/promises'
 import * as clusterView from '../../state/cluster-view.js'
-import * as countWindow from '../../state/count-window.js'
-import * as expertRebalance from '../../state/expert-rebalance.js'
-import * as mapChanges from '../../state/map-changes.js'
+import * as rankState from '../../state/rank-state.js'
 import * as revision from '../../state/revision.js'
 import * as rankCall from '../../protocol/rank-call.js'
 import * as metricsServer from '../../transport/metrics-server.js'
@@ -18,7 +16,9 @@
 import * as leadElection from './lead-election.js'
 import * as mapLead from './map-lead.js'
 import * as rankCaller from './rank-caller.js'
+import * as rankExecutor from './rank-executor.js'
 import * as rankWatch from './rank-watch.js'
+import type * as orderSender from './order-sender.js'
 import type * as controlStore from '../../protocol/control-store.js'
 import type * as peerMessage from '../../protocol/peer-message.js'
 import type * as platformSettings from '../../protocol/platform-settings.js'
@@ -35,16 +35,16 @@
 
 /** Interval at which the lead advances its map switch; an update of a rank advances it at once. */
 const LEAD_TICK_MS = 50
-/** Agents send their rank's state to the lead ten times a second, so a few lost datagrams don't exceed this timeout. */
-const AGENT_TIMEOUT_MS = 1_200
+/** An agent in a small group sends its rank's state ten times a second, so a few lost datagrams don't exceed this. */
+const MIN_AGENT_TIMEOUT_MS = 1_200
+/** Age up to which the index of agents by rank is used. */
+const MAX_INDEX_AGE_MS = 50
+/** A lead whose host is alive answers well within this time. */
+const LEAD_QUESTION_TIMEOUT_MS = 250
 /** Maximum wait at shutdown for a switch to end; its copies and orders take about a second. */
 const DRAIN_TIMEOUT_MS = 3_000
-/** Maximum number of maps kept: the one in use and later ones that were prepared but abandoned. */
-const MAX_KEPT_MAPS = 6
-/** Interval at which the rank's counts are read while a lead plans, so that it can request any recent window. */
-const COUNTS_INTERVAL_MS = 250
-/** Counts are read for this long after a request of a lead; a lead that plans sends one about every second. */
-const COUNTS_REQUEST_MS = 5_000
+/** A timer that fires a little early must not skip a repeat. */
+const STATE_TIMER_TOLERANCE_MS = 20
 const MAX_CALL_BYTES = 1024 * 1024
 
 export async function startAgent (
@@ -67,10 +67,11 @@
   readonly #election: leadElection.LeadElection
   readonly #lead: mapLead.MapLead
   readonly #remoteRanks = new Map<string, rankControl.RankControl>()
-  readonly #maps: { epoch: number, version: number, map: rankControl.ExpertMap }[] = []
-  readonly #counts = countWindow.createWindow()
-  /** The last request of a lead for counts, and when reading them stops. */
-  #countsRequest: { sets: number, untilMs: number } | undefined
+  readonly #executor: rankExecutor.RankExecutor
+  /** Agents by the rank beside them, and when the index was built. */
+  #agentsByRank: { peers: Map<number, clusterView.Peer>, atMs: number } | undefined
+  /** The state that the lead was sent last. */
+  #sentState: { state: rankState.RankState, leadAddress: string, atMs: number } | undefined
   /** Term for which the lead was started; undefined while another agent leads. */
   #ledTerm: number | undefined
 
@@ -97,6 +98,7 @@
     this.#documents = new sharedDocuments.SharedDocuments({
       runtime: env, wanted: 'configuration', onConfiguration: () => {}, onBackends: () => {}, signal
     })
+    const caller = new rankCaller.RankCaller(() => this.#ownLead())
     this.#election = new leadElection.LeadElection({
       runtime: env,
       store: adapter.store,
@@ -104,16 +106,32 @@
       address: options.peerAddress,
       ownRank: () => this.#peerRank(),
       storeEra: () => this.#storeEra(),
+      askTerm: async lead => {
+        const group = this.#watch.group?.name
+        if (group === undefined) return undefined
+        const answer = await caller.call(lead, { kind: 'lead', group }, signal, LEAD_QUESTION_TIMEOUT_MS)
+        return answer?.kind === 'lead' ? answer.term : undefined
+      },
+      signal
+    })
+    this.#executor = new rankExecutor.RankExecutor({
+      runtime: env,
+      rank: this.#rank,
+      caller,
+      group: () => this.#watch.group,
+      engine: () => this.#engine(),
+      isCurrentTerm: term => this.#election.isCurrentTerm(term),
+      ownTerm: () => this.#election.term,
       signal
     })
     this.#lead = new mapLead.MapLead({
       runtime: env,
-      caller: new rankCaller.RankCaller(),
-      callOwnRank: async call => await this.#execute(call),
+      caller,
+      callOwnRank: async call => await this.#executor.execute(call),
       rankAt: address => this.#remoteRank(address),
       addressesOf: rank => this.#addressesOf(rank),
       engine: () => this.#engine(),
-      mapOf: (epoch, version) => this.#mapOf(epoch, version),
+      mapOf: (epoch, version) => this.#executor.mapOf(epoch, version),
       isLeading: term => this.#election.term === term,
       onFenced: () => { this.#election.resign('a rank has orders of a later lead') },
       signal
@@ -134,19 +152,11 @@
       signal: this.#signal
     })
     const timer = setInterval(() => { this.#advanceLead() }, LEAD_TICK_MS)
-    const countsTimer = setInterval(() => { this.#readCounts() }, COUNTS_INTERVAL_MS)
     this.#signal.addEventListener('abort', () => {
       clearInterval(timer)
-      clearInterval(countsTimer)
     }, { once: true })
   }
 
-  async #readCounts (): Promise<void> {
-    if (this.#countsRequest === undefined || this.#env.nowMs() > this.#countsRequest.untilMs) return
-    const counts = await this.#rank.counts(this.#countsRequest.sets, this.#signal)
-    if (counts !== undefined) countWindow.addSample(this.#counts, counts, this.#env.nowMs())
-  }
-
   /** Completes a switch that has begun before giving up the lead, so that the group does not stay held. */
   async drain (): Promise<void> {
     this.#lead.stopPlanning()
@@ -211,9 +221,19 @@
     if (state === undefined) return
     this.#lead.noteRank(state)
     const { leadAddress } = this.#election
-    if (leadAddress !== undefined && this.#election.term === undefined) {
-      this.#peers.sendTo(leadAddress, { kind: 'rank', group: report.group!.name, state, ageMs })
-    }
+    if (leadAddress === undefined || this.#election.term !== undefined) return
+    const sent = this.#sentState?.leadAddress === leadAddress ? this.#sentState : undefined
+    const isDue = sent === undefined || rankState.isChanged(sent.state, state) ||
+      readAtMs - sent.atMs >= rankState.stateRepeatMs(report.group!.size) - STATE_TIMER_TOLERANCE_MS
+    if (!isDue) return
+    this.#sentState = { state, leadAddress, atMs: readAtMs }
+    this.#peers.sendTo(leadAddress, { kind: 'rank', group: report.group!.name, state, ageMs })
+  }
+
+  /** The group that this agent leads, as each of its calls to other agents states it. */
+  #ownLead (): rankCall.SentRankCall['lead'] {
+    const [group, { term }] = [this.#watch.group?.name, this.#election]
+    return group === undefined || term === undefined ? undefined : { group, term, address: this.#options.peerAddress }
   }
 
   #advanceLead (): void {
@@ -236,13 +256,30 @@
     return { rank: this.#peers.view.peers.get(previousLead.address)?.status.rank?.rank, term: previousLead.term }
   }
 
-  #addressesOf (rank: number): mapLead.RankAddresses {
-    const group = this.#watch.group?.name
-    const peer = [...this.#peers.view.peers.values()].find(candidate =>
-      candidate.status.rank?.group === group && candidate.status.rank?.rank === rank)
-    if (peer === undefined) return { agent: undefined, rank: undefined }
-    const isAlive = this.#env.nowMs() - peer.heardAtMs <= AGENT_TIMEOUT_MS
-    return { agent: isAlive ? peer.status.address : undefined, rank: peer.status.rank?.address }
+  #addressesOf (rank: number): orderSender.RankAddresses {
+    const peer = this.#indexedAgents().get(rank)
+    if (peer === undefined) return { agent: undefined, rank: undefined, failureDomain: '' }
+    const timeoutMs = Math.max(MIN_AGENT_TIMEOUT_MS, rankState.stateLifetimeMs(this.#watch.group?.size ?? 0))
+    const isAlive = this.#env.nowMs() - peer.heardAtMs <= timeoutMs
+    return {
+      agent: isAlive ? peer.status.address : undefined,
+      rank: peer.status.rank?.address,
+      failureDomain: peer.status.failureDomain
+    }
+  }
+
+  /** A lead looks all ranks up several times for each round of orders. */
+  #indexedAgents (): Map<number, clusterView.Peer> {
+    const nowMs = this.#env.nowMs()
+    if (this.#agentsByRank === undefined || nowMs - this.#agentsByRank.atMs > MAX_INDEX_AGE_MS) {
+      const group = this.#watch.group?.name
+      const peers = new Map<number, clusterView.Peer>()
+      for (const peer of this.#peers.view.peers.values()) {
+        if (peer.status.rank !== undefined && peer.status.rank.group === group) peers.set(peer.status.rank.rank, peer)
+      }
+      this.#agentsByRank = { peers, atMs: nowMs }
+    }
+    return this.#agentsByRank.peers
   }
 
   #remoteRank (address: string): rankControl.RankControl {
@@ -262,57 +299,6 @@
     return undefined
   }
 
-  async #execute (call: rankCall.RankCall): Promise<rankCall.RankCallAnswer> {
-    if (call.kind === 'counts') {
-      this.#countsRequest = { sets: call.sets, untilMs: this.#env.nowMs() + COUNTS_REQUEST_MS }
-      const counts = await this.#rank.counts(call.sets, this.#signal)
-      if (counts === undefined) return { kind: 'counts', counts }
-      const { nowMs, random } = this.#env
-      return { kind: 'counts', counts: countWindow.countsSince(this.#counts, counts, call.windowMs, nowMs(), random) }
-    }
-    if (call.kind === 'placed') return { kind: 'placed', placed: await this.#rank.placedExperts(this.#signal) }
-    if (call.kind === 'state') return { kind: 'state', ...await this.#readState() }
-    if (!this.#election.isCurrentTerm(call.term)) return { kind: 'rejected', reason: 'another agent leads' }
-    const order = call.order.kind === 'prepare_changes' ? this.#expandOrder(call.epoch, call.order) : call.order
-    if (order === undefined) return { kind: 'map_unknown' }
-    if (order.kind === 'prepare') this.#keepMap(call.epoch, order)
-    const outcome = await this.#rank.order(order, call.epoch, call.term, this.#signal)
-    return { kind: 'ordered', outcome, ...await this.#readState() }
-  }
-
-  /** @returns the order with the whole map; undefined when the base map is unknown or the digest differs. */
-  #expandOrder (epoch: number, order: rankCall.PrepareChanges): rankControl.RankOrder | undefined {
-    const base = this.#mapOf(epoch, order.baseVersion)
-    const map = base === undefined ? undefined : mapChanges.applyChanges(base, order.changes)
-    if (map === undefined || mapChanges.digestOf(map) !== order.digest) return undefined
-    return { kind: 'prepare', version: order.version, map }
-  }
-
-  #mapOf (epoch: number, version: number): rankControl.ExpertMap | undefined {
-    const [engine, group] = [this.#engine(), this.#watch.group]
-    if (version === 0 && engine !== undefined && group !== undefined) {
-      return expertRebalance.initialMap(engine.expertSets, engine.expertsPerSet, group.size)
-    }
-    return this.#maps.find(known => known.epoch === epoch && known.version === version)?.map
-  }
-
-  /** Reads the rank's current state. */
-  async #readState (): Promise<{ state: rankSwitch.RankState | undefined, ageMs: number }> {
-    const readAtMs = this.#env.nowMs()
-    const report = await this.#rank.report(this.#signal)
-    return {
-      state: report === undefined ? undefined : rankWatch.rankStateOf({ report, readAtMs }),
-      ageMs: this.#env.nowMs() - readAtMs
-    }
-  }
-
-  /** Keeps a prepared map, since this agent may become the lead and then needs the map in use. */
-  #keepMap (epoch: number, order: rankControl.RankOrder & { kind: 'prepare' }): void {
-    if (this.#maps.some(known => known.epoch === epoch && known.version === order.version)) return
-    this.#maps.push({ epoch, version: order.version, map: order.map })
-    if (this.#maps.length > MAX_KEPT_MAPS) this.#maps.shift()
-  }
-
   async #listen (): Promise<void> {
     const server = http.createServer({ noDelay: true }, (request, response) => {
       this.#handleRequest(request, response)
@@ -329,16 +315,18 @@
   }
 
   async #handleRequest (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const call = request.url === rankCall.RANK_CALL_PATH ? await readCall(request) : undefined
-    const answer: rankCall.RankCallAnswer = call === undefined
+    const sent = request.url === rankCall.RANK_CALL_PATH ? await readCall(request) : undefined
+    // The datagrams of a lead may be lost on a link that its calls fill.
+    if (sent?.lead !== undefined) this.#election.noteLead(sent.lead.group, sent.lead.term, sent.lead.address)
+    const answer: rankCall.RankCallAnswer = sent === undefined
       ? { kind: 'rejected', reason: 'the call can\'t be read' }
-      : await this.#execute(call)
+      : await this.#executor.execute(sent.call)
     const body = JSON.stringify(answer)
-    response.writeHead(call === undefined ? 400 : 200, { 'Content-Length': Buffer.byteLength(body) }).end(body)
+    response.writeHead(sent === undefined ? 400 : 200, { 'Content-Length': Buffer.byteLength(body) }).end(body)
   }
 }
 
-async function readCall (request: http.IncomingMessage): Promise<rankCall.RankCall | undefined> {
+async function readCall (request: http.IncomingMessage): Promise<rankCall.SentRankCall | undefined> {
   const chunks: Buffer[] = []
   let size = 0
   try {
@@ -347,7 +335,7 @@
       if (size > MAX_CALL_BYTES) return undefined
       chunks.push(chunk)
     }
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as rankCall.RankCall
+    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as rankCall.SentRankCall
   } catch {
     return undefined
   }
--- a/src/coordination/ranks/lead-election.ts
+++ b/src/coordination/ranks/lead-election.ts
@@ -6,6 +6,7 @@
  */
 
 import * as clusterView from '../../state/cluster-view.js'
+import type * as peerMessage from '../../protocol/peer-message.js'
 import type * as controlStore from '../../protocol/control-store.js'
 import type * as peerLinks from '../cluster/peer-links.js'
 import type * as runtime from '../runtime.js'
@@ -13,10 +14,12 @@
 export interface LeadElectionOptions {
   runtime: runtime.Runtime
   store: controlStore.ControlStore
-  peers: Pick<peerLinks.PeerLinks, 'view' | 'broadcast' | 'alivePeers'>
+  peers: Pick<peerLinks.PeerLinks, 'view' | 'broadcast' | 'sendTo' | 'alivePeers'>
   address: string
   /** Group and rank of the agent's own rank. */
   ownRank: () => clusterView.PeerRank | undefined
+  /** Asks an agent directly for its term; undefined when it does not lead or does not answer. */
+  askTerm: (address: string) => Promise<number | undefined>
   /** Highest era of the store that this process knows of. */
   storeEra: () => number
   signal: AbortSignal
@@ -36,6 +39,9 @@
  * its message arrives.
  */
 const TAKEOVER_DELAY_PER_RANK_MS = 400
+/** Agents with the lowest ranks that hear of the lead at every tick. */
+const FREQUENT_ANNOUNCEMENTS = 16
+const TICKS_PER_FULL_ANNOUNCEMENT = 4
 /** Terms of an era; leads of a group change far less often while the store keeps its history. */
 const TERMS_PER_ERA = 4_096
 
@@ -53,6 +59,7 @@
   #lastTickUnixMs = Date.now()
   #lastTakeoverMs = -Infinity
   #isTakingOver = false
+  #announcements = 0
 
   constructor (options: LeadElectionOptions) {
     this.#options = options
@@ -85,7 +92,7 @@
   }
 
   #tick (): void {
-    const { runtime: { nowMs, random }, peers, address, ownRank } = this.#options
+    const { runtime: { nowMs, random }, address, ownRank } = this.#options
     const wasPaused = nowMs() - this.#lastTickMs > TICK_MS + MAX_TIMER_DELAY_MS ||
       Date.now() - this.#lastTickUnixMs > TICK_MS + MAX_TIMER_DELAY_MS
     this.#lastTickMs = nowMs()
@@ -98,7 +105,7 @@
     const own = ownRank()
     if (own === undefined) return
     if (this.term !== undefined) {
-      peers.broadcast({ kind: 'lead', group: own.group, term: this.term, address }, 'agent')
+      this.#announce({ kind: 'lead', group: own.group, term: this.term, address })
     }
     if (this.#isTakingOver || !this.#isWriteNeeded(own) ||
       nowMs() - this.#lastTakeoverMs < TAKEOVER_RETRY_MS * (1 + random())) {
@@ -109,6 +116,21 @@
     this.#takeOver(own).finally(() => { this.#isTakingOver = false })
   }
 
+  /** In a large group, only the ranks that would take over first hear of the lead at every tick. */
+  #announce (message: peerMessage.PeerMessage): void {
+    const { peers } = this.#options
+    const agents = peers.alivePeers('agent')
+    this.#announcements += 1
+    if (agents.length <= FREQUENT_ANNOUNCEMENTS || this.#announcements % TICKS_PER_FULL_ANNOUNCEMENT === 0) {
+      peers.broadcast(message, 'agent')
+      return
+    }
+    const rankOf = (peer: clusterView.Peer): number => peer.status.rank?.rank ?? Infinity
+    for (const peer of agents.sort((a, b) => rankOf(a) - rankOf(b)).slice(0, FREQUENT_ANNOUNCEMENTS)) {
+      peers.sendTo(peer.status.address, message)
+    }
+  }
+
   /** A lead writes its row again when the store has lost it. */
   #isWriteNeeded (own: clusterView.PeerRank): boolean {
     return this.term === undefined ? this.#shouldTakeOver(own) : eraOfTerm(this.term) < this.#options.storeEra()
@@ -145,9 +167,24 @@
     clusterView.addAddresses(peers.view, [recorded.address], nowMs())
   }
 
+  /**
+   * Load pattern: the datagrams of a lead are lost while its orders fill the link of its host. Without the question,
+   * two agents of a large group replaced each other every two seconds, and each change left the group held.
+   */
+  async #isLeadAlive (group: string): Promise<boolean> {
+    const { address, askTerm } = this.#options
+    const { leadAddress } = this
+    if (this.term !== undefined || leadAddress === undefined || leadAddress === address) return false
+    const term = await askTerm(leadAddress)
+    if (term === undefined || term < this.#highestTerm) return false
+    this.noteLead(group, term, leadAddress)
+    return true
+  }
+
   async #takeOver (own: clusterView.PeerRank): Promise<void> {
     const { group } = own
     const { runtime: { log }, store, address, signal } = this.#options
+    if (await this.#isLeadAlive(group)) return
     const listed = await store.list(TABLE, '', signal)
     // A message of a lead may have arrived during the call to the store.
     if (listed.kind !== 'ok' || !this.#isWriteNeeded(own)) return
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -2,24 +2,18 @@
  * Plans new expert maps for a group and switches its ranks to them while this agent leads the group.
  */
 
-import * as countWindow from '../../state/count-window.js'
 import * as expertRebalance from '../../state/expert-rebalance.js'
 import * as mapChanges from '../../state/map-changes.js'
+import * as rankState from '../../state/rank-state.js'
 import * as rankSwitch from '../../state/rank-switch.js'
-import * as rankWatch from './rank-watch.js'
+import * as countCollector from './count-collector.js'
+import * as orderSender from './order-sender.js'
 import type * as rankCall from '../../protocol/rank-call.js'
 import type * as rankControl from '../../protocol/rank-control.js'
 import type * as routingTable from '../../state/routing-table.js'
 import type * as runtime from '../runtime.js'
 import type * as rankCaller from './rank-caller.js'
 
-/** Addresses of another rank of the group, from the status of its agent. */
-export interface RankAddresses {
-  /** Undefined while the agent is silent. */
-  agent: string | undefined
-  rank: string | undefined
-}
-
 export interface MapLeadOptions {
   runtime: runtime.Runtime
   caller: rankCaller.RankCaller
@@ -27,7 +21,7 @@
   callOwnRank: (call: rankCall.RankCall) => Promise<rankCall.RankCallAnswer>
   /** Direct access to a rank on another host, used while its agent is silent. */
   rankAt: (address: string) => rankControl.RankControl
-  addressesOf: (rank: number) => RankAddresses
+  addressesOf: (rank: number) => orderSender.RankAddresses
   engine: () => routingTable.EngineModel | undefined
   /** The initial map, or one that this agent received an order to prepare; undefined for other versions. */
   mapOf: (epoch: number, version: number) => rankControl.ExpertMap | undefined
@@ -40,19 +34,16 @@
 
 /** Minimum time between two collections of counts; a shorter one yields too few new counts. */
 const PLAN_INTERVAL_MS = 400
-/** Maximum window over which counts are taken. */
-const MAX_COUNTS_WINDOW_MS = 1_200
-/** Largest group that uses the maximum window; a larger one collects enough requests for a plan sooner. */
-const MAX_WINDOW_RANKS = 12
-const MIN_COUNTS_WINDOW_MS = 500
 const MAX_NEW_COPIES_PER_RANK = 4
 const MIN_GAIN_PER_COPY = 0.02
-const SILENT_RANK_MS = 400
 const DIRECT_READ_INTERVAL_MS = 200
-const REMOTE_REPORT_AGE_MS = 300
+/** Time in addition to two repeats of a rank's state after which the rank is read directly. */
+const SILENT_RANK_MARGIN_MS = 200
 
 export class MapLead {
   readonly #options: MapLeadOptions
+  readonly #sender: orderSender.OrderSender
+  readonly #collector: countCollector.CountCollector
   readonly #ranks = new Map<number, rankSwitch.RankState>()
   readonly #directReadAtMs = new Map<number, number>()
   #state: rankSwitch.SwitchState | undefined
@@ -67,10 +58,13 @@
   #collectedAtMs = -Infinity
   readonly #fencedRanks = new Set<number>()
   #isCollecting = false
+  #isAdvanceScheduled = false
   #isPlanningStopped = false
 
   constructor (options: MapLeadOptions) {
     this.#options = options
+    this.#sender = new orderSender.OrderSender({ ...options, onState: state => { this.noteRank(state) } })
+    this.#collector = new countCollector.CountCollector(options)
   }
 
   /** Called when this agent becomes the lead. @param previous the agent that led before. */
@@ -120,7 +114,7 @@
       })
       if (step.entered === 'idle') metrics.mapSwitches.inc({ outcome: 'ended' })
     }
-    for (const { rank, order } of step.orders) this.#sendOrder(rank, order, own)
+    this.#sendOrders(step.orders, own)
     if (!rankSwitch.isIdle(this.#state)) this.#readSilentRanks(own)
     this.#collectCounts(own)
     if (rankSwitch.isIdle(this.#state) && this.#collectedCounts !== undefined) this.#plan(own)
@@ -128,12 +122,43 @@
 
   /** Sends the current term to every rank, so that ranks refuse orders of earlier leads. */
   #fenceAll (own: rankControl.RankGroup): void {
+    // No rank is held at step 0, so the order has no other effect.
+    const order: rankControl.RankOrder = { kind: 'go', step: 0 }
+    const orders: rankSwitch.AddressedOrder[] = []
     for (let rank = 0; rank < own.size; rank++) {
       if (this.#fencedRanks.has(rank)) continue
       this.#fencedRanks.add(rank)
-      // No rank is held at step 0, so the order has no other effect.
-      this.#sendOrder(rank, { kind: 'go', step: 0 }, own)
+      orders.push({ rank, order })
     }
+    if (orders.length > 0) this.#sendOrders(orders, own)
+  }
+
+  #sendOrders (orders: readonly rankSwitch.AddressedOrder[], own: rankControl.RankGroup): void {
+    const term = this.#term
+    this.#sender.send(orders, {
+      group: this.#group,
+      own,
+      term,
+      compact: order => this.#compactOrder(order),
+      onOutcome: (rank, outcome) => {
+        if (term !== this.#term) return
+        if (outcome === 'fenced') this.#options.onFenced()
+        else if (this.#state?.epoch === own.epoch) {
+          if (outcome === 'unknown') rankSwitch.noteUnanswered(this.#state, rank)
+          this.#advanceSoon(own)
+        }
+      }
+    })
+  }
+
+  /** Advances once for all answers that arrive together. */
+  #advanceSoon (own: rankControl.RankGroup): void {
+    if (this.#isAdvanceScheduled) return
+    this.#isAdvanceScheduled = true
+    setImmediate(() => {
+      this.#isAdvanceScheduled = false
+      if (this.#state?.epoch === own.epoch) this.advance(own)
+    })
   }
 
   #knownMap (own: rankControl.RankGroup): rankControl.ExpertMap | undefined {
@@ -142,47 +167,6 @@
     return this.#options.mapOf(own.epoch, version)
   }
 
-  async #sendOrder (rank: number, order: rankControl.RankOrder, own: rankControl.RankGroup): Promise<void> {
-    const { caller, addressesOf, callOwnRank, rankAt, runtime: { nowMs, log }, signal } = this.#options
-    const orderCall = (sentOrder: rankControl.RankOrder | rankCall.PrepareChanges): rankCall.RankCall =>
-      ({ kind: 'order', group: this.#group, epoch: own.epoch, term: this.#term, order: sentOrder })
-    const { agent, rank: address } = addressesOf(rank)
-    const sentAtMs = nowMs()
-    let outcome: rankControl.OrderOutcome | undefined
-    // A hold is sent to the rank directly. The lead's host may freeze with the order; a rank on another host can be
-    // released without the lead's host.
-    const isDirect = order.kind === 'hold' && rank !== own.rank && address !== undefined
-    if (!isDirect && (rank === own.rank || agent !== undefined)) {
-      let answer = rank === own.rank
-        ? await callOwnRank(orderCall(order))
-        : await caller.call(agent!, orderCall(this.#compactOrder(order)), signal)
-      if (answer?.kind === 'map_unknown') answer = await caller.call(agent!, orderCall(order), signal)
-      if (answer?.kind === 'ordered') {
-        outcome = answer.outcome
-        if (answer.state !== undefined) this.noteRank({ ...answer.state, readAtMs: nowMs() - answer.ageMs })
-      } else if (answer?.kind === 'rejected') outcome = 'fenced'
-    }
-    if (outcome === undefined && rank !== own.rank && address !== undefined) {
-      outcome = await rankAt(address).order(order, own.epoch, this.#term, signal)
-      // The group is stalled until the lead knows that the order was carried out, so the state is requested at once.
-      // The same applies to a refusal: the rank's pass has begun, and another step must be held.
-      if (agent !== undefined) await this.#requestState(rank, agent)
-    }
-    log.emit('rankOrder', {
-      rank,
-      order: order.kind,
-      outcome,
-      tookMs: Math.round(nowMs() - sentAtMs),
-      version: 'version' in order ? order.version : undefined,
-      step: 'step' in order ? order.step : undefined
-    })
-    if (outcome === 'fenced') this.#options.onFenced()
-    else if (this.#state?.epoch === own.epoch) {
-      if (outcome === 'unknown') rankSwitch.noteUnanswered(this.#state, rank)
-      this.advance(own)
-    }
-  }
-
   /** Replaces the whole map of a prepare order by its difference from the map in use, where that is known. */
   #compactOrder (order: rankControl.RankOrder): rankControl.RankOrder | rankCall.PrepareChanges {
     return order.kind === 'prepare' && this.#changes?.version === order.version ? this.#changes : order
@@ -191,35 +175,17 @@
   /** Reads a rank directly while its agent is silent. */
   #readSilentRanks (own: rankControl.RankGroup): void {
     const { addressesOf, runtime: { nowMs } } = this.#options
+    const silentMs = 2 * rankState.stateRepeatMs(own.size) + SILENT_RANK_MARGIN_MS
     for (let rank = 0; rank < own.size; rank++) {
       const readAtMs = this.#ranks.get(rank)?.readAtMs ?? -Infinity
       const { rank: address } = addressesOf(rank)
-      if (rank === own.rank || address === undefined || nowMs() - readAtMs < SILENT_RANK_MS) continue
+      if (rank === own.rank || address === undefined || nowMs() - readAtMs < silentMs) continue
       if (nowMs() - (this.#directReadAtMs.get(rank) ?? -Infinity) < DIRECT_READ_INTERVAL_MS) continue
       this.#directReadAtMs.set(rank, nowMs())
-      this.#readDirectly(rank, address)
+      this.#sender.readDirectly(rank, address, this.#group, this.#state?.phase.kind)
     }
   }
 
-  async #requestState (rank: number, agent: string): Promise<void> {
-    const { caller, runtime: { nowMs }, signal } = this.#options
-    const answer = await caller.call(agent, { kind: 'state' }, signal)
-    if (answer?.kind === 'state' && answer.state?.rank === rank) {
-      this.noteRank({ ...answer.state, readAtMs: nowMs() - answer.ageMs })
-    }
-  }
-
-  async #readDirectly (rank: number, address: string): Promise<void> {
-    const { rankAt, runtime: { nowMs, log }, signal } = this.#options
-    // A report that is read from another host is some hundred ms old when it arrives.
-    const readAtMs = nowMs() - REMOTE_REPORT_AGE_MS
-    const report = await rankAt(address).report(signal)
-    const state = report === undefined ? undefined : rankWatch.rankStateOf({ report, readAtMs })
-    if (state === undefined || report?.group?.name !== this.#group) {
-      log.emit('rankUnreachable', { rank, address, phase: this.#state?.phase.kind, group: report?.group?.name })
-    } else this.noteRank(state)
-  }
-
   /** Collects counts only while no switch is in progress: a plan from older counts would follow outdated popularity. */
   #collectCounts (own: rankControl.RankGroup): void {
     const { engine, runtime: { nowMs } } = this.#options
@@ -228,7 +194,7 @@
     if (this.#isPlanningStopped || this.#isCollecting || nowMs() - this.#collectedAtMs < PLAN_INTERVAL_MS) return
     this.#isCollecting = true
     this.#collectedAtMs = nowMs()
-    this.#recentCounts(own, model).then(counts => {
+    this.#collector.collect(own, model).then(counts => {
       this.#collectedCounts = counts === undefined ? undefined : { counts, epoch: own.epoch }
       this.advance(own)
     }).finally(() => { this.#isCollecting = false })
@@ -292,19 +258,6 @@
     return true
   }
 
-  /** Sums over all ranks how often requests chose each expert within the window. */
-  async #recentCounts (
-    own: rankControl.RankGroup, model: routingTable.EngineModel
-  ): Promise<number[][] | undefined> {
-    const windowMs = Math.max(
-      MIN_COUNTS_WINDOW_MS, Math.min(MAX_COUNTS_WINDOW_MS, MAX_COUNTS_WINDOW_MS * MAX_WINDOW_RANKS / own.size)
-    )
-    const answers = await this.#callAllRanks(own, { kind: 'counts', sets: model.expertSets, windowMs })
-    const packed = [...answers.values()].flatMap(answer =>
-      answer.kind === 'counts' && answer.counts !== undefined ? [answer.counts] : [])
-    return countWindow.sumCounts(packed, own.epoch, model.expertSets, model.expertsPerSet)
-  }
-
   async #callAllRanks (
     own: rankControl.RankGroup, call: rankCall.RankCall
   ): Promise<Map<number, rankCall.RankCallAnswer>> {
--- a/src/protocol/control-store.ts
+++ b/src/protocol/control-store.ts
@@ -43,7 +43,8 @@
   partition: string
   key: string
   /**
-   * Undefined: the row must not exist. Only the number is compared, so a caller checks that the result has the same era.
+   * Undefined: the row must not exist. Only the number is compared, so a caller checks that the result has the same
+   * era.
    */
   revision: revisionModule.Revision | undefined
 }
@@ -58,5 +59,7 @@
     table: string, afterRevision: revisionModule.Revision, waitMs: number, signal: AbortSignal
   ): Promise<StoreOutcome<RowsAnswer>>
   /** Applies all writes atomically, provided that all conditions hold. */
-  write (writes: RowWrite[], conditions: RowCondition[], signal: AbortSignal): Promise<StoreOutcome<revisionModule.Revision>>
+  write (
+    writes: RowWrite[], conditions: RowCondition[], signal: AbortSignal
+  ): Promise<StoreOutcome<revisionModule.Revision>>
 }
--- a/src/protocol/peer-message.ts
+++ b/src/protocol/peer-message.ts
@@ -1,5 +1,8 @@
 /**
  * Datagrams between the processes of the system, as JSON. All are sent repeatedly, so a lost one does no harm.
+ *
+ * The two frequent kinds are arrays without names: in a deployment of two hundred processes they take most of the bytes
+ * between failure domains, and the names would take three quarters of them.
  */
 
 import type * as backendPool from '../state/backend-pool.js'
@@ -8,18 +11,7 @@
 
 export type PeerMessage =
   | { kind: 'status', status: clusterView.PeerStatus, known: string[] }
-  /** From an agent to the entries: load of the rank at an address. */
-  | {
-    kind: 'load',
-    rankAddress: string,
-    /** Start of the rank's instance; undefined if it doesn't state it. */
-    startedAtUnixMs: number | undefined,
-    /** The rank accepts no new work soon. */
-    isLeaving: boolean,
-    load: backendPool.LoadReport,
-    step: number,
-    ageMs: number
-  }
+  | LoadMessage
   /** From an agent to the lead of its group. */
   | { kind: 'rank', group: string, state: rankSwitch.RankState, ageMs: number }
   /** From the lead of a group to the agents: who leads, and in which term. */
@@ -29,22 +21,103 @@
   /** Between entries: an instance of a backend server has said that it leaves. */
   | { kind: 'leaving', backendId: string, startedAtUnixMs: number }
 
-const MESSAGE_KINDS = new Set<string>(['status', 'load', 'rank', 'lead', 'crash', 'leaving'] satisfies PeerMessage['kind'][])
+/** From an agent to the entries: load of the rank at an address. */
+export interface LoadMessage {
+  kind: 'load'
+  rankAddress: string
+  /** Start of the rank's instance; undefined if it doesn't state it. */
+  startedAtUnixMs: number | undefined
+  /** The rank accepts no new work soon. */
+  isLeaving: boolean
+  load: backendPool.LoadReport
+  step: number
+  ageMs: number
+}
+
+const NAMED_KINDS = new Set<string>(['rank', 'lead', 'crash', 'leaving'] satisfies PeerMessage['kind'][])
 
 /** Maximum number of peer addresses in one status message, which keeps a datagram below the usual 1,400 bytes. */
 export const MAX_KNOWN_ADDRESSES = 40
 
 export function encodeMessage (message: PeerMessage): Buffer {
+  if (message.kind === 'load') return Buffer.from(JSON.stringify(encodeLoad(message)))
+  if (message.kind === 'status') return Buffer.from(JSON.stringify(encodeStatus(message.status, message.known)))
   return Buffer.from(JSON.stringify(message))
 }
 
 /** @returns undefined when the bytes are not a message. */
 export function decodeMessage (bytes: Buffer): PeerMessage | undefined {
   try {
-    const parsed = JSON.parse(bytes.toString('utf8')) as Partial<PeerMessage> | null
-    if (parsed?.kind !== undefined && MESSAGE_KINDS.has(parsed.kind)) return parsed as PeerMessage
+    const parsed = JSON.parse(bytes.toString('utf8')) as unknown
+    if (Array.isArray(parsed)) return parsed[0] === 'load' ? decodeLoad(parsed) : decodeStatus(parsed)
+    const named = parsed as Partial<PeerMessage> | null
+    if (named?.kind !== undefined && NAMED_KINDS.has(named.kind)) return named as PeerMessage
   } catch {
     // Not JSON, so not sent by a process of this system.
   }
   return undefined
 }
+
+/** Decimals of a slowdown factor that placement can tell apart. */
+const SLOWDOWN_DECIMALS = 2
+
+function encodeLoad ({ rankAddress, startedAtUnixMs, isLeaving, load, step, ageMs }: LoadMessage): unknown[] {
+  return [
+    'load', rankAddress, startedAtUnixMs ?? 0, Number(isLeaving), load.running, load.waiting, load.slots,
+    Number(load.slowdown.toFixed(SLOWDOWN_DECIMALS)), load.cacheTokensUsed, step, ageMs
+  ]
+}
+
+function decodeLoad (fields: unknown[]): LoadMessage | undefined {
+  const [, rankAddress, ...numbers] = fields
+  const isValid = typeof rankAddress === 'string' && numbers.length === 9 && numbers.every(Number.isFinite)
+  if (!isValid) return undefined
+  const [startedAtUnixMs, leaving, running, waiting, slots, slowdown, cacheTokensUsed, step, ageMs] =
+    numbers as number[]
+  return {
+    kind: 'load',
+    rankAddress,
+    startedAtUnixMs: startedAtUnixMs === 0 ? undefined : startedAtUnixMs,
+    isLeaving: leaving === 1,
+    load: {
+      running: running!, waiting: waiting!, slots: slots!, slowdown: slowdown!, cacheTokensUsed: cacheTokensUsed!
+    },
+    step: step!,
+    ageMs: ageMs!
+  }
+}
+
+function encodeStatus (status: clusterView.PeerStatus, known: string[]): unknown[] {
+  const { backendRevision: { era, number }, rank } = status
+  return [
+    'status', status.address, status.role, status.failureDomain, status.state, status.clientAddress,
+    status.configurationVersion, era, number, status.storeEra,
+    rank === undefined ? [] : [rank.group, rank.rank, rank.address], known
+  ]
+}
+
+function decodeStatus (fields: unknown[]): PeerMessage | undefined {
+  const [kind, address, role, failureDomain, state, clientAddress, ...rest] = fields
+  const [configurationVersion, era, number, storeEra, rank, known] = rest
+  const isValid = kind === 'status' && [address, failureDomain, clientAddress].every(text => typeof text === 'string') &&
+    (role === 'entry' || role === 'agent') && (state === 'starting' || state === 'ready' || state === 'draining') &&
+    [configurationVersion, era, number, storeEra].every(Number.isSafeInteger) &&
+    Array.isArray(rank) && Array.isArray(known) && known.every(one => typeof one === 'string')
+  if (!isValid) return undefined
+  const [group, rankNumber, rankAddress] = rank as [string, number, string]
+  return {
+    kind: 'status',
+    status: {
+      address: address as string,
+      role: role as clusterView.ProcessRole,
+      failureDomain: failureDomain as string,
+      state: state as clusterView.ProcessState,
+      clientAddress: clientAddress as string,
+      configurationVersion: configurationVersion as number,
+      backendRevision: { era: era as number, number: number as number },
+      storeEra: storeEra as number,
+      rank: rank.length === 0 ? undefined : { group, rank: rankNumber, address: rankAddress }
+    },
+    known: known as string[]
+  }
+}
--- a/src/protocol/platform-settings.ts
+++ b/src/protocol/platform-settings.ts
@@ -15,7 +15,7 @@
   seedHosts: { flag: 'seed-hosts', description: 'addresses of entry hosts to contact first, separated by commas; only the IP address is used, with the port of --peer-address', fallback: '', schema: schemas.names },
   storeAddress: { flag: 'store-address', description: 'address of the platform\'s store', schema: schemas.address },
   storeTimeoutMs: { flag: 'store-timeout-ms', description: 'timeout of calls to the store, in ms, in addition to the wait for a change', fallback: '700', schema: schemas.integer(10, 60_000) },
-  maxStoreAnswerBytes: { flag: 'max-store-answer-bytes', description: 'largest answer of the store, in bytes; a larger one fails its call', fallback: '4194304', schema: schemas.integer(65_536, 1_073_741_824) },
+  maxStoreAnswerBytes: { flag: 'max-store-answer-bytes', description: 'largest answer of the store, in bytes; a larger one fails its call', fallback: '2097152', schema: schemas.integer(65_536, 1_073_741_824) },
   shutdownMs: { flag: 'shutdown-ms', description: 'time from SIGTERM until the platform kills the process, in ms', fallback: '8000', schema: schemas.integer(0, 3_600_000) },
   logLevel: { flag: 'log-level', description: 'error, warn, info or debug', fallback: 'info', schema: schemas.choice('error', 'warn', 'info', 'debug') },
   logLinesPerSecond: { flag: 'log-lines-per-second', description: 'maximum log lines per second; further lines at level info are dropped and counted', fallback: '400', schema: schemas.integer(1, 100_000) },
--- a/src/protocol/rank-call.ts
+++ b/src/protocol/rank-call.ts
@@ -24,12 +24,29 @@
   /** @property windowMs length of the window that the counts cover. */
   | { kind: 'counts', sets: number, windowMs: number }
   | { kind: 'placed' }
+  /** Adds up the counts of this agent's rank and of those beside other agents. @property agents their addresses. */
+  | { kind: 'sum_counts', agents: string[], experts: number, counts: { kind: 'counts', sets: number, windowMs: number } }
+  /** Passes a call on to other agents, which may include this one. */
+  | { kind: 'relay', targets: { rank: number, address: string }[], call: RankCall }
+  /** Whether the agent leads the group. */
+  | { kind: 'lead', group: string }
+
+/** A call as sent: each one from a lead shows that it is alive. */
+export interface SentRankCall {
+  call: RankCall
+  /** The caller; undefined when it does not lead. */
+  lead: { group: string, term: number, address: string } | undefined
+}
 
 export type RankCallAnswer =
   | { kind: 'ordered', outcome: rankControl.OrderOutcome, state: rankSwitch.RankState | undefined, ageMs: number }
   | { kind: 'state', state: rankSwitch.RankState | undefined, ageMs: number }
   | { kind: 'counts', counts: countWindow.PackedCounts | undefined }
   | { kind: 'placed', placed: rankControl.PlacedExperts | undefined }
+  /** Answers of the agents that answered. */
+  | { kind: 'relayed', answers: { rank: number, answer: RankCallAnswer }[] }
+  /** Term of the agent's own lead; undefined when it does not lead the group. */
+  | { kind: 'lead', term: number | undefined }
   /** The agent can't build the map of `prepare_changes`; it needs the whole map. */
   | { kind: 'map_unknown' }
   /** The caller no longer leads, or the call can't be parsed. */
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -10,8 +10,8 @@
 /** Live backend servers have written their rows again about two seconds after the store recovers. */
 const STORE_RECOVERY_GRACE_MS = 2_200
 /**
- * A row of an instance that had left is used only if it is still listed after this time: the platform deletes the row of
- * a silent backend server after three heartbeats, and a live one writes its row again before.
+ * A row of an instance that had left is used only if it is still listed after this time: the platform deletes the row
+ * of a silent backend server after three heartbeats, and a live one writes its row again before.
  */
 const RETURNED_ROW_DELAY_MS = 6_000
 /** For how long removed instances are remembered; the copy that a store is restored from is some seconds old. */
@@ -115,7 +115,10 @@
   table.removed.set(id, { startedAtUnixMs: entry.row.startedAtUnixMs, atMs: nowMs })
 }
 
-/** Removes missing rows whose grace period has ended, and uses returned rows that are still listed. @returns whether any row changed. */
+/**
+ * Removes missing rows whose grace period has ended, and uses returned rows that are still listed.
+ * @returns whether any row changed.
+ */
 export function settle (table: BackendTable, nowMs: number): boolean {
   let hasChanged = false
   for (const [id, entry] of table.entries) {
--- a/src/state/count-window.ts
+++ b/src/state/count-window.ts
@@ -23,7 +23,7 @@
   experts: number
   /** Requests per step. */
   scale: number
-  /** Steps of each expert of each set, in base64: one byte each, or half a byte where there are many experts. */
+  /** Steps of each expert of each set, in base64: one byte each, or half a byte for one rank with many experts. */
   steps: string
 }
 
@@ -76,6 +76,14 @@
   return { epoch: now.epoch, experts: now.counts[0]?.length ?? 0, scale, steps: bytes.toString('base64') }
 }
 
+/** Packs the sum of several ranks' counts, as if it were one rank's. */
+export function packSum (sum: readonly number[][], epoch: number, random: () => number): PackedCounts {
+  const counts = sum.flat()
+  const scale = Math.max(1, ...counts) / MAX_BYTE_STEP
+  const steps = counts.map(count => Math.min(MAX_BYTE_STEP, Math.floor(count / scale + random())))
+  return { epoch, experts: sum[0]?.length ?? 0, scale, steps: Buffer.from(steps).toString('base64') }
+}
+
 function packHalfBytes (steps: readonly number[]): Buffer {
   const bytes = Buffer.alloc(Math.ceil(steps.length / 2))
   steps.forEach((step, index) => { bytes[index >> 1]! |= index % 2 === 0 ? step : step << 4 })
@@ -85,7 +93,7 @@
 /** @returns undefined when the number of steps differs from `count`. */
 function unpackSteps (packed: string, count: number): number[] | undefined {
   const bytes = Buffer.from(packed, 'base64')
-  if (count <= MAX_BYTE_ENCODED_COUNTS) return bytes.length === count ? [...bytes] : undefined
+  if (bytes.length === count) return [...bytes]
   if (bytes.length !== Math.ceil(count / 2)) return undefined
   return Array.from({ length: count }, (_, index) =>
     index % 2 === 0 ? bytes[index >> 1]! & MAX_HALF_BYTE_STEP : bytes[index >> 1]! >> 4)
--- a/src/state/peer-schedule.ts
+++ b/src/state/peer-schedule.ts
@@ -13,6 +13,9 @@
 const ENTRY_TARGETS_PER_INTERVAL = 64
 /** Peers that also receive known addresses in an interval; enough to spread an address in a few intervals. */
 const GOSSIP_TARGETS_PER_INTERVAL = 6
+/** A process that has started sends known addresses in each of its first turns, and then in every eighth one. */
+const FIRST_GOSSIP_TURNS = 40
+const TURNS_PER_GOSSIP = 8
 /** Entries to which an agent sends its load after each reading. */
 const LOAD_TARGETS_PER_READING = 16
 /** A peer from which nothing has arrived in this many of its turns to send counts as silent. */
@@ -38,7 +41,8 @@
   const entryTargets = self === 'entry' ? rotatingWindow(all.filter(isEntry), turn, ENTRY_TARGETS_PER_INTERVAL) : []
   const others = self === 'entry' ? all.filter(address => !isEntry(address)) : all
   const targets = [...entryTargets, ...rotatingWindow(others, turn, STATUS_TARGETS_PER_INTERVAL)]
-  const gossip = rotatingWindow(targets, turn, GOSSIP_TARGETS_PER_INTERVAL)
+  const isGossiping = turn < FIRST_GOSSIP_TURNS || turn % TURNS_PER_GOSSIP === 0
+  const gossip = isGossiping ? rotatingWindow(targets, turn, GOSSIP_TARGETS_PER_INTERVAL) : []
   return { statusOnly: targets.filter(address => !gossip.includes(address)), gossip }
 }
 
--- a/src/state/rank-switch.ts
+++ b/src/state/rank-switch.ts
@@ -10,23 +10,10 @@
  * and a successor that can't reach it may undo the switch.
  */
 
+import * as rankState from './rank-state.js'
 import type * as rankControl from '../protocol/rank-control.js'
 
-/** State of one rank as the lead last read it. */
-export interface RankState {
-  rank: number
-  epoch: number
-  isOpen: boolean
-  step: number
-  mapVersion: number
-  preparedVersion: number | undefined
-  armed: { version: number, step: number } | undefined
-  heldStep: number | undefined
-  /** Above 1: slower than nominal. */
-  slowdown: number
-  /** When the rank was read, on the lead's clock. */
-  readAtMs: number
-}
+export type RankState = rankState.RankState
 
 /** Phase of a switch. The fields of each phase, except the map, are logged under the same names. */
 export type SwitchPhase =
@@ -83,13 +70,10 @@
  */
 const VERSIONS_PER_TERM = 4_096
 
-/** The state of a rank is ignored when it is older than this. */
-const STATE_LIFETIME_MS = 700
 const REPEAT_PREPARE_MS = 400
 const REPEAT_ORDER_MS = 60
 /** Orders to all ranks of a group take the lead's host about this much longer for each rank above the typical size. */
 const DELAY_PER_EXTRA_RANK_MS = 2
-const TYPICAL_GROUP_SIZE = 12
 /** A rank that is reachable but slow answers within this time. */
 const ABSENT_LEAD_TIMEOUT_MS = 300
 /** Time for a hold order to reach its rank before the held step begins. */
@@ -169,8 +153,11 @@
 }
 
 function currentStates (state: SwitchState, ranks: ReadonlyMap<number, RankState>, nowMs: number): RankState[] {
+  const sinceMs = nowMs - rankState.stateLifetimeMs(state.size)
+  // What a lead takes over is decided from states that were read since: a previous lead may have changed older ones.
+  const fromMs = state.phase.kind === 'recovering' ? Math.max(sinceMs, state.phase.sinceMs) : sinceMs
   return [...ranks.values()].filter(rank =>
-    rank.epoch === state.epoch && rank.isOpen && nowMs - rank.readAtMs <= STATE_LIFETIME_MS)
+    rank.epoch === state.epoch && rank.isOpen && rank.readAtMs >= fromMs)
 }
 
 function ordersOf (state: SwitchState, known: RankState[], nowMs: number): AddressedOrder[] {
@@ -357,7 +344,7 @@
 
 /** Additional time that orders to all ranks of a large group take, compared with a group of typical size. */
 function largeGroupDelayMs (state: SwitchState): number {
-  return Math.max(0, state.size - TYPICAL_GROUP_SIZE) * DELAY_PER_EXTRA_RANK_MS
+  return Math.max(0, state.size - rankState.TYPICAL_GROUP_SIZE) * DELAY_PER_EXTRA_RANK_MS
 }
 
 /** The order for those of the ranks to which none was sent within the repeat interval. */
--- a/src/transport/http-call.ts
+++ b/src/transport/http-call.ts
@@ -22,14 +22,15 @@
 
 export type HttpCallResult =
   | { kind: 'answer', status: number, headers: http.IncomingHttpHeaders, body: Buffer }
-  /** `wasSent`: the server may have acted on the call. */
-  | { kind: 'failed', wasSent: boolean, reason: string }
+  /** `wasSent`: the server may have acted on the call. `isTooLarge`: its answer exceeded the limit. */
+  | { kind: 'failed', wasSent: boolean, isTooLarge: boolean, reason: string }
 
 export async function callHttp (call: HttpCall): Promise<HttpCallResult> {
   const [host, port] = call.address.split(':')
   return await new Promise(resolve => {
     let wasSent = false
-    const fail = (error: Error): void => { resolve({ kind: 'failed', wasSent, reason: error.message }) }
+    let isTooLarge = false
+    const fail = (error: Error): void => { resolve({ kind: 'failed', wasSent, isTooLarge, reason: error.message }) }
     const request = http.request({
       host,
       port: Number(port),
@@ -46,7 +47,10 @@
       response.on('data', (chunk: Buffer) => {
         sizeBytes += chunk.length
         if (sizeBytes <= call.maxBodyBytes) chunks.push(chunk)
-        else request.destroy(new Error(`the answer of ${call.address} exceeds ${call.maxBodyBytes} bytes`))
+        else if (!isTooLarge) {
+          isTooLarge = true
+          request.destroy(new Error(`the answer of ${call.address} exceeds ${call.maxBodyBytes} bytes`))
+        }
       })
       response.on('error', fail)
       response.on('end', () => {
