Close a kept connection on which bytes arrive between two calls

Cause: calls to the store, to ranks and between agents keep their connections. A second copy of an answer that arrives late stays in the socket and is read as the answer to the next call. Change: while no call uses a connection, any byte on it closes it. A copy that arrives after the next call was sent can't be told apart; orders are checked against the rank's own report, and requests of clients have a connection each.

--- a/src/coordination/ranks/rank-caller.ts
+++ b/src/coordination/ranks/rank-caller.ts
@@ -2,7 +2,6 @@
  * Calls the agents of other ranks over HTTP.
  */
 
-import * as http from 'node:http'
 import * as httpCall from '../../transport/http-call.js'
 import * as rankCall from '../../protocol/rank-call.js'
 
@@ -16,7 +15,7 @@
 const MAX_CALLS = 24
 
 export class RankCaller {
-  readonly #agent = new http.Agent({ keepAlive: true, maxSockets: 4, maxFreeSockets: 1 })
+  readonly #agent = httpCall.createKeepAliveAgent({ maxSockets: 4, maxFreeSockets: 1 })
   readonly #lead: () => rankCall.SentRankCall['lead']
   readonly #waiting: (() => void)[] = []
   /** Bulk calls in flight. */
--- a/src/transport/http-call.ts
+++ b/src/transport/http-call.ts
@@ -3,6 +3,7 @@
  */
 
 import * as http from 'node:http'
+import type * as net from 'node:net'
 
 export interface HttpCall {
   /** IP address and port. */
@@ -25,6 +26,27 @@
   /** `wasSent`: the server may have acted on the call. `isTooLarge`: its answer exceeded the limit. */
   | { kind: 'failed', wasSent: boolean, isTooLarge: boolean, reason: string }
 
+/** Listeners on connections that no call uses. */
+const idleListeners = new WeakMap<net.Socket, () => void>()
+
+/** Keeps connections open for further calls. One on which bytes arrive between two calls is closed. */
+export function createKeepAliveAgent (limits: { maxSockets: number, maxFreeSockets: number }): http.Agent {
+  const agent = new http.Agent({ keepAlive: true, ...limits })
+  agent.on('free', (socket: net.Socket) => {
+    // A late second copy of an answer would be read as the answer to the next call.
+    const closeOnBytes = (): void => { socket.destroy() }
+    idleListeners.set(socket, closeOnBytes)
+    socket.on('data', closeOnBytes)
+  })
+  return agent
+}
+
+function noteReuse (socket: net.Socket): void {
+  const listener = idleListeners.get(socket)
+  if (listener !== undefined) socket.off('data', listener)
+  idleListeners.delete(socket)
+}
+
 export async function callHttp (call: HttpCall): Promise<HttpCallResult> {
   const [host, port] = call.address.split(':')
   return await new Promise(resolve => {
@@ -60,6 +82,7 @@
     })
     const timer = setTimeout(() => { request.destroy(new Error('no answer in time')) }, call.timeoutMs)
     request.on('socket', socket => {
+      noteReuse(socket)
       if (socket.connecting) socket.once('connect', () => { wasSent = true })
       else wasSent = true
     })
