--- a/playground/__tests__/restart.spec.ts
+++ b/playground/__tests__/restart.spec.ts
@@ -1,4 +1,5 @@
 import * as vitest from 'vitest'
+import * as logEvents from '../../src/protocol/log-events.js'
 import * as cluster from '../cluster.js'
 import * as seedTeams from '../seed-teams.js'
 
@@ -54,6 +55,13 @@
   return Promise.all(entries.map(entry => deployment.restartEntry(entry)))
 }
 
+/** Entries that read the whole configuration from the table service, with the time at which they had it. */
+function readsSince (sinceMs: number): string[] {
+  return deployment.entries.flatMap(({ host, process }) => process.lines
+    .filter(line => line['event'] === logEvents.logEvents.configurationRead.number)
+    .map(line => `${host} in ${String(line['tookMs'])} ms at ${Date.parse(line['timestamp'] as string) - sinceMs} ms`))
+}
+
 /** Number of requests of all kinds to the table service between two counts. */
 function requestsSince (before: cluster.PlatformCounts, after: cluster.PlatformCounts): number {
   return after.reads + after.throttled + after.cut - before.reads - before.throttled - before.cut
@@ -83,6 +91,7 @@
   const outageRate = requestsSince(duringOutage, before) / 3
   // One attempt of each entry every 250 ms would be 48/s.
   vitest.expect(outageRate).toBeLessThan(ENTRIES * 2.25)
+  const upAtMs = Date.now()
   await deployment.setPlatform('table', { mode: 'up' })
   const readyMs = await cluster.waitFor('all entries are ready', BOUND_MS, async () =>
     (await readyEntries()).length === ENTRIES)
@@ -91,6 +100,7 @@
   const pages = after.queries - before.queries
   console.log(`outage: ${outageRate.toFixed(1)} requests/s; ready ${Math.round(readyMs)} ms after it with ${reads} reads, ${pages} of pages, ` +
     `${after.throttled - before.throttled} refused`)
+  console.log(`read from the table: ${readsSince(upAtMs).join(', ')}`)
   // Peers are the first source: most entries copy the configuration of those that read it first.
   vitest.expect(pages).toBeLessThan(ENTRIES * PAGES / 3)
 })
--- a/src/coordination/configuration-sync.ts
+++ b/src/coordination/configuration-sync.ts
@@ -152,6 +152,9 @@
       const snapshot = await readFullSnapshot(head.value)
       if (snapshot.kind !== 'ok') return snapshot
       await task.replace(snapshot.value.revision, snapshot.value.changes)
+      env.log.emit('configurationRead', {
+        revision: snapshot.value.revision, tookMs: Math.round(env.nowMs() - startedAtMs)
+      })
       revision = await task.read(copy => copy.revision)
     }
     while (revision < head.value) {
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -10,8 +10,8 @@
 import * as backendPool from '../../state/backend-pool.js'
 import * as backendTable from '../../state/backend-table.js'
 import * as clusterView from '../../state/cluster-view.js'
-import * as feedSchedule from '../../state/feed-schedule.js'
 import * as crashRecord from '../../state/crash-record.js'
+import * as feedSchedule from '../../state/feed-schedule.js'
 import * as peerSchedule from '../../state/peer-schedule.js'
 import * as bufferBudget from '../../transport/buffer-budget.js'
 import * as metricsServer from '../../transport/metrics-server.js'
@@ -148,14 +148,15 @@
 
   #watchStore (): void {
     const { store, configurationRow, backendTable: backends } = this.#adapter
-    const schedule = (): feedSchedule.FeedSchedule => feedSchedule.feedSchedule(
-      this.#options.peerAddress, this.#peers.alivePeers('entry').map(peer => peer.status.address)
+    const scheduleOf = (content: feedSchedule.FeedContent): feedSchedule.FeedSchedule => feedSchedule.feedSchedule(
+      content, this.#options.peerAddress, this.#peers.alivePeers('entry').map(peer => peer.status.address)
     )
-    const shared = { runtime: this.#env, store, schedule, signal: this.#signal }
+    const shared = { runtime: this.#env, store, signal: this.#signal }
     const applyRow = (answer: controlStore.RowsAnswer): void => { this.#applyConfigurationRow(answer) }
     tableWatch.watchTable({
       ...shared,
       table: configurationRow.table,
+      schedule: () => scheduleOf('configuration'),
       onSnapshot: applyRow,
       onChanges: applyRow,
       onAvailable: () => {}
@@ -163,6 +164,7 @@
     tableWatch.watchTable({
       ...shared,
       table: backends,
+      schedule: () => scheduleOf('backends'),
       onSnapshot: answer => {
         backendTable.replaceAll(this.#documents.table, this.#decodeBackends(answer), answer.revision, this.#env.nowMs())
         this.#documents.publishBackends()
@@ -328,9 +330,22 @@
     )
     const endMs = sinceMs + this.#options.shutdownMs * DRAIN_SHUTDOWN_FRACTION
     while (this.#env.nowMs() < endMs) {
-      if (this.#env.nowMs() - sinceMs > clientLeaveMs && this.#inFlight === 0) return
+      if (this.#env.nowMs() - sinceMs > clientLeaveMs && this.#inFlight === 0) break
       await timers.setTimeout(20)
     }
+    await this.#closeClientServer(endMs)
+  }
+
+  /**
+   * Accepts no further connections and closes idle ones, and waits for those on which a request has begun. Load
+   * pattern: clients with cached addresses still send requests while the process exits, and one that has just been
+   * accepted would be cut off.
+   */
+  async #closeClientServer (endMs: number): Promise<void> {
+    const server = this.#clientServer
+    if (server === undefined) return
+    const closed = new Promise<void>(resolve => { server.close(() => { resolve() }) })
+    await Promise.race([closed, timers.setTimeout(Math.max(0, endMs - this.#env.nowMs()))])
   }
 }
 
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -50,6 +50,7 @@
   snapshotWritten: { number: 4008, level: 'debug', text: 'a snapshot of the configuration was written to the object store' },
   snapshotNotWritten: { number: 4009, level: 'warn', text: 'a snapshot of the configuration could not be written' },
   claimWriterAvoided: { number: 4010, level: 'warn', text: 'an entry does not answer claims; others write them for a while' },
+  configurationRead: { number: 4011, level: 'info', text: 'the whole configuration was read from the table service' },
   configurationConfirmed: { number: 4101, level: 'info', text: 'the configuration copy is confirmed; new requests are accepted' },
   configurationUnconfirmed: {
     number: 4102,
