--- a/scripts/generate-docs.ts
+++ b/scripts/generate-docs.ts
@@ -6,6 +6,8 @@
 import * as fs from 'node:fs'
 import * as logEvents from '../src/protocol/log-events.js'
 import * as metricCatalogue from '../src/protocol/metric-catalogue.js'
+import * as platformSettings from '../src/protocol/platform-settings.js'
+import * as settings from '../src/protocol/settings.js'
 
 const eventRows = Object.entries(logEvents.logEvents)
   .sort(([, a], [, b]) => a.number - b.number)
@@ -13,6 +15,13 @@
 const metricRows = Object.entries(metricCatalogue.metrics)
   .map(([name, metric]) => `| \`bulrush.${name}\` | ${metric.kind} | ${metric.text} |`)
 
+function settingRows (table: settings.SettingTable): string {
+  return Object.values(table).map(({ flag, fallback, description }) => {
+    const initial = fallback === undefined ? 'required' : fallback === '' ? 'empty' : `\`${fallback}\``
+    return `| \`--${flag}\` | \`${settings.environmentName(flag)}\` | ${initial} | ${description} |`
+  }).join('\n')
+}
+
 const pages: Record<string, string> = {
   'docs/events.md': `# Log events
 
@@ -31,6 +40,23 @@
 | name | kind | meaning |
 |---|---|---|
 ${metricRows.join('\n')}
+`,
+  'docs/settings.md': `# Settings of the programs on a platform
+
+A flag takes precedence over its environment variable, and this over the settings file. This page is generated from
+\`src/protocol/platform-settings.ts\` by \`npm run generate\`.
+
+## bulrush-platform-entry
+
+| flag | environment variable | default | meaning |
+|---|---|---|---|
+${settingRows(platformSettings.entrySettings)}
+
+## bulrush-platform-agent
+
+| flag | environment variable | default | meaning |
+|---|---|---|---|
+${settingRows(platformSettings.agentSettings)}
 `
 }
 
--- a/src/state/__tests__/peer-schedule.spec.ts
+++ b/src/state/__tests__/peer-schedule.spec.ts
@@ -71,3 +71,19 @@
   expect(peerSchedule.statusTargets(view, 'agent', 3)).toEqual({ statusOnly: [], gossip: [...view.known.keys()] })
   expect(peerSchedule.peerTimeoutMs(view, 'agent', 'entry')).toBe(1_200)
 })
+
+// Guards against an entry that clients still get as an address more than 2 s after it has died.
+test('a dead entry among a hundred counts as silent within 2 s', () => {
+  const view = viewOf(98, 129)
+  expect(peerSchedule.peerTimeoutMs(view, 'entry', 'entry')).toBeLessThan(2_000)
+  const lastTurns = new Map<string, number>()
+  for (let turn = 0; turn < 20; turn++) {
+    const { statusOnly, gossip } = peerSchedule.statusTargets(view, 'entry', turn)
+    for (const address of [...statusOnly, ...gossip].filter(target => target.startsWith('entry'))) {
+      const gapMs = (turn - (lastTurns.get(address) ?? 0)) * clusterView.STATUS_INTERVAL_MS
+      expect(gapMs).toBeLessThanOrEqual(peerSchedule.peerTimeoutMs(view, 'entry', 'entry') / 3)
+      lastTurns.set(address, turn)
+    }
+  }
+  expect(lastTurns.size).toBe(98)
+})
--- a/src/state/__tests__/rank-switch-simulation.ts
+++ b/src/state/__tests__/rank-switch-simulation.ts
@@ -5,6 +5,7 @@
 
 import * as pureRand from 'pure-rand/generator/xoroshiro128plus'
 import * as uniform from 'pure-rand/distribution/uniformFloat32'
+import * as rankState from '../rank-state.js'
 import * as rankSwitch from '../rank-switch.js'
 import type * as rankControl from '../../protocol/rank-control.js'
 
@@ -25,6 +26,8 @@
   freezeAtHold: boolean
   /** Probability per second that a rank restarts. */
   rankRestart: number
+  /** Share of the datagrams with a rank's state that are lost on the way to the lead. */
+  lostReports: number
   /** Share of the time in which the group has no work and begins no pass. */
   idle: number
 }
@@ -87,6 +90,8 @@
   #pending: PendingOrder[] = []
   #unanswered: { atMs: number, rank: number }[] = []
   #states = new Map<number, rankSwitch.RankState>()
+  /** State that each rank's agent has sent last. */
+  #sentStates = new Map<number, rankSwitch.RankState>()
   #lead: Lead
   #proposals = 0
   #lastProposeMs = 0
@@ -157,7 +162,7 @@
         this.#epoch, this.#size, this.#lead.rank, this.#lead.term, this.#nowMs, this.#lead.previousLead)
     }
     this.#lead.state.mapInUse = [[[0]]]
-    if (this.#nowMs % READ_INTERVAL_MS === 0) for (let rank = 0; rank < this.#size; rank++) this.#read(rank)
+    if (this.#nowMs % READ_INTERVAL_MS === 0) for (let rank = 0; rank < this.#size; rank++) this.#report(rank)
     const actions = rankSwitch.advance(this.#lead.state, this.#states, this.#nowMs)
     if (actions.entered === 'idle') this.#result.switches += 1
     for (const { rank, order } of actions.orders) {
@@ -185,10 +190,24 @@
     return this.#frozen?.rank === rank && this.#nowMs < this.#frozen.untilMs
   }
 
-  #read (rank: number): void {
+  /** The agent of a rank sends its state when it has changed, and repeats it at intervals. */
+  #report (rank: number): void {
     if (this.#isFrozen(rank)) return
+    const [state, sent] = [this.#stateOf(rank), this.#sentStates.get(rank)]
+    const isDue = sent === undefined || rankState.isChanged(sent, state) ||
+      state.readAtMs - sent.readAtMs >= rankState.stateRepeatMs(this.#size)
+    if (!isDue) return
+    this.#sentStates.set(rank, state)
+    if (this.#random() >= this.#faults.lostReports) this.#states.set(rank, state)
+  }
+
+  #read (rank: number): void {
+    if (!this.#isFrozen(rank)) this.#states.set(rank, this.#stateOf(rank))
+  }
+
+  #stateOf (rank: number): rankSwitch.RankState {
     const { mapVersion, prepared, armed, heldStep } = this.#ranks[rank]!
-    this.#states.set(rank, {
+    return {
       rank,
       epoch: this.#epoch,
       isOpen: this.#nowMs >= this.#openAtMs,
@@ -199,7 +218,7 @@
       heldStep,
       slowdown: 1,
       readAtMs: this.#nowMs
-    })
+    }
   }
 
   #send (rank: number, order: rankControl.RankOrder): void {
--- a/src/state/peer-schedule.ts
+++ b/src/state/peer-schedule.ts
@@ -20,6 +20,8 @@
 const LOAD_TARGETS_PER_READING = 16
 /** A peer from which nothing has arrived in this many of its turns to send counts as silent. */
 const MAX_MISSED_TURNS = 4
+/** The same for entries that send to each other only in some intervals; clients get a silent one's address meanwhile. */
+const MAX_MISSED_ENTRY_TURNS = 3
 
 export interface StatusTargets {
   /** Peers that receive only the status. */
@@ -58,11 +60,13 @@
 export function peerTimeoutMs (
   view: clusterView.ClusterView, self: clusterView.ProcessRole, role: clusterView.ProcessRole
 ): number {
-  const isEntryPair = self === 'entry' && role === 'entry'
-  const turns = isEntryPair
-    ? Math.ceil(clusterView.knownPeers(view, 'entry') / ENTRY_TARGETS_PER_INTERVAL)
-    : Math.ceil(view.known.size / STATUS_TARGETS_PER_INTERVAL)
-  return Math.max(1, turns) * MAX_MISSED_TURNS * clusterView.STATUS_INTERVAL_MS
+  const { STATUS_INTERVAL_MS } = clusterView
+  if (self === 'entry' && role === 'entry') {
+    const turns = Math.ceil(clusterView.knownPeers(view, 'entry') / ENTRY_TARGETS_PER_INTERVAL)
+    return Math.max(MAX_MISSED_TURNS, turns * MAX_MISSED_ENTRY_TURNS) * STATUS_INTERVAL_MS
+  }
+  const turns = Math.ceil(view.known.size / STATUS_TARGETS_PER_INTERVAL)
+  return Math.max(1, turns) * MAX_MISSED_TURNS * STATUS_INTERVAL_MS
 }
 
 /** The next `size` items in round-robin order. */
--- a/src/state/rank-switch.ts
+++ b/src/state/rank-switch.ts
@@ -71,9 +71,15 @@
 const VERSIONS_PER_TERM = 4_096
 
 const REPEAT_PREPARE_MS = 400
+/**
+ * The same for the last ranks. Load pattern: one of the datagrams in which 128 ranks report that they are ready is
+ * usually lost, and its repeat comes half a second later.
+ */
+const REPEAT_LAST_PREPARE_MS = 120
+const LAST_RANKS_SHARE = 0.25
 const REPEAT_ORDER_MS = 60
 /** Orders to all ranks of a group take the lead's host about this much longer for each rank above the typical size. */
-const DELAY_PER_EXTRA_RANK_MS = 2
+const DELAY_PER_EXTRA_RANK_MS = 1
 /** A rank that is reachable but slow answers within this time. */
 const ABSENT_LEAD_TIMEOUT_MS = 300
 /** Time for a hold order to reach its rank before the held step begins. */
@@ -147,7 +153,7 @@
 /** A step that the group won't have begun yet when a hold order arrives. */
 function nextHoldStep (state: SwitchState, known: readonly RankState[], nowMs: number): number {
   // The margin lets all ranks be armed before the held step begins, so that the group does not have to wait.
-  const marginMs = HOLD_MARGIN_MS + largeGroupDelayMs(state)
+  const marginMs = HOLD_MARGIN_MS + largeGroupDelayMs(state.size)
   return Math.max(...known.map(rank =>
     rank.step + 1 + Math.ceil((nowMs - rank.readAtMs + marginMs) / Math.max(1, state.passMs))))
 }
@@ -179,7 +185,8 @@
     case 'releasing':
       return release(state, phase, known, nowMs)
     case 'settling':
-      if (isComplete && known.every(rank => rank.mapVersion === phase.version)) enterPhase(state, { kind: 'idle', sinceMs: nowMs })
+      // All ranks were armed for the same pass, and a pass begins at all of them together.
+      if (known.some(rank => rank.mapVersion === phase.version)) enterPhase(state, { kind: 'idle', sinceMs: nowMs })
       return []
   }
 }
@@ -293,7 +300,10 @@
     return ordersDue(state, [holder], { kind: 'hold', step }, REPEAT_ORDER_MS, nowMs)
   }
   const prepared = new Set(known.filter(rank => rank.preparedVersion === version).map(rank => rank.rank))
-  return ordersDue(state, allRanks(state).filter(rank => !prepared.has(rank)), { kind: 'prepare', version, map }, REPEAT_PREPARE_MS, nowMs)
+  const unprepared = allRanks(state).filter(rank => !prepared.has(rank))
+  const isLast = unprepared.length <= state.size * LAST_RANKS_SHARE
+  const repeatMs = isLast ? REPEAT_LAST_PREPARE_MS : REPEAT_PREPARE_MS
+  return ordersDue(state, unprepared, { kind: 'prepare', version, map }, repeatMs, nowMs)
 }
 
 function hold (
@@ -342,9 +352,9 @@
   return ordersDue(state, [holder], { kind: 'go', step }, REPEAT_ORDER_MS, nowMs)
 }
 
-/** Additional time that orders to all ranks of a large group take, compared with a group of typical size. */
-function largeGroupDelayMs (state: SwitchState): number {
-  return Math.max(0, state.size - rankState.TYPICAL_GROUP_SIZE) * DELAY_PER_EXTRA_RANK_MS
+/** Additional time that orders to many ranks take, compared with a group of typical size. */
+function largeGroupDelayMs (ranks: number): number {
+  return Math.max(0, ranks - rankState.TYPICAL_GROUP_SIZE) * DELAY_PER_EXTRA_RANK_MS
 }
 
 /** The order for those of the ranks to which none was sent within the repeat interval. */
@@ -352,7 +362,7 @@
   state: SwitchState, ranks: readonly number[], order: rankControl.RankOrder, repeatMs: number, nowMs: number
 ): AddressedOrder[] {
   const due: AddressedOrder[] = []
-  const extraMs = ranks.length > 1 ? largeGroupDelayMs(state) : 0
+  const extraMs = largeGroupDelayMs(ranks.length)
   for (const rank of ranks) {
     if (nowMs - (state.orderedAtMs.get(rank) ?? -Infinity) < repeatMs + extraMs) continue
     state.orderedAtMs.set(rank, nowMs)
