Wait briefly for relays of urgent orders, ignore rows that name no address

Causes: a lead waited 600 ms for an agent that passes on an order for which the group may be held. Rows of the tables of processes and leads, and datagrams, may come from another writer; a port that is no number makes a socket throw, which ends the process. Change: 300 ms for such orders, 500 for maps; addresses are checked where they are read. Result: tests for both.

--- a/src/coordination/ranks/__tests__/lead-election.spec.ts
+++ b/src/coordination/ranks/__tests__/lead-election.spec.ts
@@ -145,3 +145,17 @@
   await vi.advanceTimersByTimeAsync(5 * ELECTION_MS)
   expect(leads).toHaveLength(1)
 })
+
+// Guards against an agent that stops because another writer's row names no address.
+test('an unreadable row of a lead is replaced', async () => {
+  for (const value of ['not json', '{"term":"7","address":"10.0.0.50:1"}', '{"term":7,"address":"nowhere"}', 'null']) {
+    leads = []
+    elections = new Map()
+    row = { table: 't', partition: '', key: 'g', revision: { era: 0, number: 4 }, value: Buffer.from(value) }
+    startAgent(3, 0)
+    await vi.advanceTimersByTimeAsync(ELECTION_MS)
+    expect(leads).toEqual([3])
+    controller.abort()
+    controller = new AbortController()
+  }
+})
--- a/src/coordination/ranks/__tests__/order-sender.spec.ts
+++ b/src/coordination/ranks/__tests__/order-sender.spec.ts
@@ -16,6 +16,8 @@
 
 let calls: { address: string, call: rankCall.RankCall }[]
 let sentBytes: number
+/** Timeouts of the calls. */
+let waitsMs: (number | undefined)[]
 /** Agents that answer no call. */
 let silent: Set<string>
 let outcomes: Map<number, rankControl.OrderOutcome>
@@ -24,6 +26,7 @@
 beforeEach(() => {
   calls = []
   sentBytes = 0
+  waitsMs = []
   silent = new Set()
   outcomes = new Map()
   directOrders = []
@@ -38,8 +41,9 @@
 const ordered: rankCall.RankCallAnswer = { kind: 'ordered', outcome: 'accepted', state: undefined, ageMs: 0 }
 
 const caller = {
-  call: async (address: string, call: rankCall.RankCall) => {
+  call: async (address: string, call: rankCall.RankCall, _signal: AbortSignal, timeoutMs?: number) => {
     calls.push({ address, call })
+    waitsMs.push(timeoutMs)
     sentBytes += JSON.stringify(call).length
     if (silent.has(address)) return undefined
     if (call.kind === 'relay') {
@@ -109,6 +113,13 @@
   expect(new Set(directOrders)).toContain(10)
 })
 
+// Guards against a group that is held for the whole timeout of a relay whose host stands still.
+test('the lead waits for a relay only briefly while the group may be held', async () => {
+  createSender().send(orderToAll({ kind: 'arm', version: 2, step: 9 }), context)
+  await settle()
+  expect(Math.max(...waitsMs.map(waitMs => waitMs ?? Infinity))).toBeLessThanOrEqual(300)
+})
+
 // Guards against a hold that freezes together with the host that passes it on.
 test('a hold is sent to its rank directly', async () => {
   createSender().send([{ rank: 7, order: { kind: 'hold', step: 9 } }], context)
--- a/src/coordination/ranks/order-sender.ts
+++ b/src/coordination/ranks/order-sender.ts
@@ -46,6 +46,12 @@
  */
 const MIN_RELAYED_RANKS = 8
 const REMOTE_REPORT_AGE_MS = 300
+/** Maximum wait of a relay for each rank. A prepare order is long, and the group does not wait for it. */
+const PREPARE_TIMEOUT_MS = 400
+/** The same for orders for which the group may be held; a relay that stands still must not hold it for long. */
+const SHORT_ORDER_TIMEOUT_MS = 200
+/** Additional wait for the relay itself. */
+const RELAY_MARGIN_MS = 100
 
 export class OrderSender {
   readonly #options: OrderSenderOptions
@@ -87,9 +93,12 @@
     // Another agent in each round, so that one that does not answer costs one round.
     const relay = targets[this.#rounds % targets.length]
     const sentAtMs = nowMs()
+    const timeoutMs = order.kind === 'prepare' ? PREPARE_TIMEOUT_MS : SHORT_ORDER_TIMEOUT_MS
+    const call = orderCall(context, context.compact(order))
     const answer = relay === undefined
       ? undefined
-      : await caller.call(relay.address, { kind: 'relay', targets, call: orderCall(context, context.compact(order)) }, signal)
+      : await caller.call(
+        relay.address, { kind: 'relay', targets, call, timeoutMs }, signal, timeoutMs + RELAY_MARGIN_MS)
     const answers = answer?.kind === 'relayed'
       ? new Map(answer.answers.map(one => [one.rank, one.answer]))
       : new Map<number, rankCall.RankCallAnswer>()
--- a/src/protocol/peer-message.ts
+++ b/src/protocol/peer-message.ts
@@ -5,6 +5,7 @@
  * between failure domains, and the names would take three quarters of them.
  */
 
+import * as peerAddress from '../state/peer-address.js'
 import type * as backendPool from '../state/backend-pool.js'
 import type * as clusterView from '../state/cluster-view.js'
 import type * as rankSwitch from '../state/rank-switch.js'
@@ -99,16 +100,17 @@
 function decodeStatus (fields: unknown[]): PeerMessage | undefined {
   const [kind, address, role, failureDomain, state, clientAddress, ...rest] = fields
   const [configurationVersion, era, number, storeEra, rank, known] = rest
-  const isValid = kind === 'status' && [address, failureDomain, clientAddress].every(text => typeof text === 'string') &&
+  const isValid = kind === 'status' && peerAddress.isPeerAddress(address) &&
+    [failureDomain, clientAddress].every(text => typeof text === 'string') &&
     (role === 'entry' || role === 'agent') && (state === 'starting' || state === 'ready' || state === 'draining') &&
     [configurationVersion, era, number, storeEra].every(Number.isSafeInteger) &&
-    Array.isArray(rank) && Array.isArray(known) && known.every(one => typeof one === 'string')
+    Array.isArray(rank) && Array.isArray(known) && known.every(peerAddress.isPeerAddress)
   if (!isValid) return undefined
   const [group, rankNumber, rankAddress] = rank as [string, number, string]
   return {
     kind: 'status',
     status: {
-      address: address as string,
+      address,
       role: role as clusterView.ProcessRole,
       failureDomain: failureDomain as string,
       state: state as clusterView.ProcessState,
--- a/src/protocol/rank-call.ts
+++ b/src/protocol/rank-call.ts
@@ -26,8 +26,8 @@
   | { kind: 'placed' }
   /** Adds up the counts of this agent's rank and of those beside other agents. @property agents their addresses. */
   | { kind: 'sum_counts', agents: string[], experts: number, counts: { kind: 'counts', sets: number, windowMs: number } }
-  /** Passes a call on to other agents, which may include this one. */
-  | { kind: 'relay', targets: { rank: number, address: string }[], call: RankCall }
+  /** Passes a call on to other agents, maybe this one too. @property timeoutMs maximum wait for each of them. */
+  | { kind: 'relay', targets: { rank: number, address: string }[], call: RankCall, timeoutMs: number }
   /** Whether the agent leads the group. */
   | { kind: 'lead', group: string }
 
--- a/src/state/peer-schedule.ts
+++ b/src/state/peer-schedule.ts
@@ -20,7 +20,7 @@
 const LOAD_TARGETS_PER_READING = 16
 /** A peer from which nothing has arrived in this many of its turns to send counts as silent. */
 const MAX_MISSED_TURNS = 4
-/** The same for entries that send to each other only in some intervals; clients get a silent one's address meanwhile. */
+/** The same between entries that don't send to each other in each interval. Clients get a silent one's address. */
 const MAX_MISSED_ENTRY_TURNS = 3
 
 export interface StatusTargets {
