Check calls between agents before they are carried out

Cause: the form of calls between agents has changed with the sign of life that each carries. An agent of another version, or any bytes that are JSON, left the kind of a call undefined; the error ended the process, since only broken invariants may. Found when the change was read again. Change: calls are checked when they are read; what is no call gets status 400.

--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -340,7 +340,7 @@
       if (size > MAX_CALL_BYTES) return undefined
       chunks.push(chunk)
     }
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as rankCall.SentRankCall
+    return rankCall.parseRankCall(JSON.parse(Buffer.concat(chunks).toString('utf8')))
   } catch {
     return undefined
   }
--- a/src/protocol/rank-call.ts
+++ b/src/protocol/rank-call.ts
@@ -2,6 +2,7 @@
  * Calls of a group's lead to the agents of its ranks, as JSON over HTTP.
  */
 
+import * as peerAddress from '../state/peer-address.js'
 import type * as countWindow from '../state/count-window.js'
 import type * as mapChanges from '../state/map-changes.js'
 import type * as rankSwitch from '../state/rank-switch.js'
@@ -53,3 +54,36 @@
   | { kind: 'rejected', reason: string }
 
 export const RANK_CALL_PATH = '/rank'
+
+/** @returns undefined for a value that is not a call, for example of another version of the software. */
+export function parseRankCall (value: unknown): SentRankCall | undefined {
+  const { call, lead } = (value ?? {}) as Partial<SentRankCall>
+  if (!isRankCall(call)) return undefined
+  const isLead = lead !== undefined && lead !== null && typeof lead.group === 'string' &&
+    Number.isSafeInteger(lead.term) && peerAddress.isPeerAddress(lead.address)
+  return { call, lead: isLead ? lead : undefined }
+}
+
+function isRankCall (value: unknown): value is RankCall {
+  const call = (value ?? {}) as Partial<RankCall>
+  switch (call.kind) {
+    case 'state':
+    case 'placed': return true
+    case 'lead': return typeof call.group === 'string'
+    case 'counts': return isCountsCall(call)
+    case 'sum_counts': return isCountsCall(call.counts) && isAddresses(call.agents) && Number.isInteger(call.experts)
+    case 'relay':
+      return isAddresses(call.targets?.map?.(target => target?.address)) && Number.isFinite(call.timeoutMs) &&
+        call.call?.kind !== 'relay' && isRankCall(call.call)
+    case 'order': return typeof call.order?.kind === 'string' && [call.epoch, call.term].every(Number.isSafeInteger)
+    default: return false
+  }
+}
+
+function isCountsCall (call: Partial<RankCall & { kind: 'counts' }> | undefined): boolean {
+  return call?.kind === 'counts' && Number.isInteger(call.sets) && Number.isFinite(call.windowMs)
+}
+
+function isAddresses (value: unknown): boolean {
+  return Array.isArray(value) && value.every(peerAddress.isPeerAddress)
+}
