Avoid ranks whose host has stopped, leave their streams sooner

Cause: while the host of a rank is frozen, its agent sends no reports. A report older than a second is ignored, so the rank counted as idle and got new requests; its kernel accepts them, nobody reads them. A stream there was moved only after four times the usual time to the first event, under load 1.3 to 1.6 s, so that the client left before the second attempt had an event. What stays at the frozen host can't be ended from outside.

Change: a rank that is silent for much longer than the median of its group is used only if no other one has a free slot, and gets one request until it is heard again. A stream on it moves after 0.7 s. If most ranks are silent, none counts, since this process is the likelier cause.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -4,6 +4,7 @@
 
 import * as availability from '../../state/availability.js'
 import * as backendPool from '../../state/backend-pool.js'
+import * as rankSilence from '../../state/rank-silence.js'
 import * as routingTable from '../../state/routing-table.js'
 import * as backendCall from './backend-call.js'
 import * as wholeResponse from './whole-response.js'
@@ -26,8 +27,11 @@
 const FIRST_RESPONSE_TIMEOUT_FACTOR = 4
 const MIN_FIRST_RESPONSE_TIMEOUT_MS = 700
 
-/** Interval at which a silent attempt in a stalled group is checked again. */
-const STALL_CHECK_MS = 100
+/** The same where the rank's host has stopped, whatever the usual time is. */
+const STOPPED_HOST_TIMEOUT_MS = 700
+
+/** Interval at which a silent attempt is checked again. */
+const SILENCE_CHECK_MS = 100
 
 type StopReason = 'deadline' | 'client' | 'silent'
 
@@ -129,6 +133,7 @@
   readonly #sentAtMs: number
   readonly #call: call.Call
   #silenceTimeoutMs: number
+  #silentSinceMs: number
   #hasResponded = false
   readonly #clientSignal: AbortSignal
   readonly #onClientGone: () => void
@@ -144,6 +149,7 @@
       FIRST_RESPONSE_TIMEOUT_FACTOR * backendPool.firstResponseMs(ctx.pool, request.service)
     )
     this.#sentAtMs = ctx.nowMs()
+    this.#silentSinceMs = this.#sentAtMs
     this.#call = request
     this.#clientSignal = request.signal
     this.#onClientGone = () => { this.#stop('client') }
@@ -163,23 +169,33 @@
       this.#silenceTimeoutMs = EVENT_TIMEOUT_MS
       backendPool.noteFirstResponse(this.#ctx.pool, this.#call.service, this.#ctx.nowMs() - this.#sentAtMs)
     }
+    backendPool.noteHeard(this.#backend, this.#ctx.nowMs())
     this.#restartSilenceTimer()
   }
 
   #restartSilenceTimer (): void {
     clearTimeout(this.#silenceTimer)
     if (!this.#isRetryAllowed) return
-    this.#silenceTimer = setTimeout(() => { this.#onSilence() }, this.#silenceTimeoutMs)
+    this.#silentSinceMs = this.#ctx.nowMs()
+    this.#checkSilenceIn(Math.min(this.#silenceTimeoutMs, STOPPED_HOST_TIMEOUT_MS))
+  }
+
+  #checkSilenceIn (delayMs: number): void {
+    this.#silenceTimer = setTimeout(() => { this.#checkSilence() }, delayMs)
   }
 
   /**
    * Ends the attempt only if another one may follow. A rank is not at fault when its whole group is stalled, and
    * without a retry left in the budget a late response is better than none.
    */
-  #onSilence (): void {
-    const isStalled = backendPool.isGroupStalled(this.#ctx.pool, this.#backend, this.#ctx.nowMs())
-    if (isStalled) this.#silenceTimer = setTimeout(() => { this.#onSilence() }, STALL_CHECK_MS)
-    else if (retries.hasTimeLeft(this.#ctx, this.#call) && retries.takeRetry(this.#ctx, this.#call)) this.#stop('silent')
+  #checkSilence (): void {
+    const ctx = this.#ctx
+    const nowMs = ctx.nowMs()
+    const remainingMs = this.#silentSinceMs + this.#silenceTimeoutMs - nowMs
+    const isOverdue = remainingMs <= 0 || rankSilence.isSilent(ctx.pool, this.#backend, nowMs)
+    if (!isOverdue) this.#checkSilenceIn(Math.min(remainingMs, SILENCE_CHECK_MS))
+    else if (backendPool.isGroupStalled(ctx.pool, this.#backend, nowMs)) this.#checkSilenceIn(SILENCE_CHECK_MS)
+    else if (retries.hasTimeLeft(ctx, this.#call) && retries.takeRetry(ctx, this.#call)) this.#stop('silent')
     else this.#restartSilenceTimer()
   }
 
--- a/src/state/__tests__/placement-simulation.ts
+++ b/src/state/__tests__/placement-simulation.ts
@@ -17,10 +17,19 @@
   /** Time from reading the load to the arrival of the report at the gateways. */
   reportDelayMs: number
   durationMs: number
+  /** The host of this rank is frozen for a time: it sends no reports and finishes no requests. */
+  frozen?: { rank: number, fromMs: number, untilMs: number }
   /** Uniform in [0, 1). */
   random: () => number
 }
 
+export interface PlacementResult {
+  /** Share of the requests that reached a rank without a free slot. */
+  shareQueued: number
+  /** Times at which requests were sent to the frozen rank while it was frozen, since the freeze began. */
+  sentToFrozenMs: number[]
+}
+
 interface Job {
   backend?: backendPool.Backend
   holdMs: number
@@ -28,9 +37,9 @@
 
 const DOMAINS = ['a', 'b', 'c']
 
-/** Runs the simulation. @returns share of the requests that reached a rank without a free slot. */
-export function shareQueuedAtRanks (load: PlacementLoad): number {
-  const { random, ranks } = load
+export function simulatePlacement (load: PlacementLoad): PlacementResult {
+  const { random, ranks, frozen } = load
+  const sentToFrozenMs: number[] = []
   const pools = Array.from({ length: load.gateways }, () => poolOf(load))
   const running = new Array<number>(ranks).fill(0)
   const queues: Job[][] = Array.from({ length: ranks }, () => [])
@@ -43,7 +52,7 @@
     nowMs = next.atMs
     next.act()
   }
-  return queued / placed
+  return { shareQueued: queued / placed, sentToFrozenMs }
 
   function at (atMs: number, act: () => void): void {
     let index = events.length
@@ -51,6 +60,10 @@
     events.splice(index, 0, { atMs, act })
   }
 
+  function isFrozen (rank: number): boolean {
+    return frozen !== undefined && rank === frozen.rank && nowMs >= frozen.fromMs && nowMs < frozen.untilMs
+  }
+
   function arrive (): void {
     at(nowMs - Math.log(1 - random()) * 1_000 / load.requestsPerS, arrive)
     const gateway = Math.floor(random() * load.gateways)
@@ -64,6 +77,7 @@
     backendPool.noteSent(found.backend, 1, nowMs)
     placed += 1
     const rank = found.backend.row.group!.rank
+    if (isFrozen(rank)) sentToFrozenMs.push(nowMs - frozen!.fromMs)
     if (running[rank]! < load.slots) start(rank, job)
     else {
       queued += 1
@@ -73,20 +87,27 @@
 
   function start (rank: number, job: Job): void {
     running[rank]! += 1
-    at(nowMs + job.holdMs, () => {
+    const finish = (): void => {
+      if (isFrozen(rank)) {
+        at(frozen!.untilMs, finish)
+        return
+      }
       running[rank]! -= 1
       backendPool.noteFinished(job.backend!, 1)
       const next = queues[rank]!.shift()
       if (next !== undefined) start(rank, next)
-    })
+    }
+    at(nowMs + job.holdMs, finish)
   }
 
   function report (rank: number): void {
     const readAtMs = nowMs
     const state = { running: running[rank]!, waiting: queues[rank]!.length, slots: 0, slowdown: 1, cacheTokensUsed: 0 }
-    at(nowMs + load.reportDelayMs, () => {
-      for (const pool of pools) backendPool.noteLoad(pool.backends.get(`r${rank}`)!, state, readAtMs)
-    })
+    if (!isFrozen(rank)) {
+      at(nowMs + load.reportDelayMs, () => {
+        for (const pool of pools) backendPool.noteLoad(pool.backends.get(`r${rank}`)!, state, readAtMs)
+      })
+    }
     at(nowMs + load.reportIntervalMs, () => { report(rank) })
   }
 }
--- a/src/state/__tests__/placement.spec.ts
+++ b/src/state/__tests__/placement.spec.ts
@@ -129,21 +129,47 @@
 
 // Guards against gateways that all choose the rank that was least loaded in the last reports.
 test('gateways with the same reports do not fill the same rank', () => {
-  // The load of a busy day: 7 gateways, 12 ranks with 60% to 70% of their slots in use.
-  const shares = [1, 2, 3].map(seed => placementSimulation.shareQueuedAtRanks({
-    gateways: 7,
-    ranks: 12,
-    slots: 8,
-    requestsPerS: 45,
-    holdMs: 1_500,
-    reportIntervalMs: 100,
-    reportDelayMs: 20,
-    durationMs: 60_000,
-    random: randomOf(seed)
-  }))
+  const shares = [1, 2, 3].map(seed => placementSimulation.simulatePlacement({
+    ...BUSY_DAY, random: randomOf(seed)
+  }).shareQueued)
   expect(Math.max(...shares)).toBeLessThan(0.025)
 })
 
+// Guards against requests that wait on a frozen host until their clients have left.
+test('a rank whose host has frozen gets at most one further request from each gateway', () => {
+  // Each gateway may send one request to find out whether only the agent has stopped.
+  const noticedMs = 1_000
+  const counts = [1, 2, 3].map(seed => placementSimulation.simulatePlacement({
+    ...BUSY_DAY, frozen: { rank: 2, fromMs: 10_000, untilMs: 14_000 }, durationMs: 15_000, random: randomOf(seed)
+  }).sentToFrozenMs.filter(sentMs => sentMs > noticedMs).length)
+  expect(Math.max(...counts)).toBeLessThanOrEqual(BUSY_DAY.gateways)
+})
+
+// Guards against a gateway that stops using its ranks because it receives no reports itself.
+test('a gateway that hears of no rank still uses all of them', () => {
+  const pool = poolOf(4)
+  const rows = [...pool.backends.values()].map(({ row }, rank) =>
+    ({ ...row, group: { name: 'g', epoch: 1, rank, isOpen: true, size: 4 } }))
+  backendPool.setRows(pool, rows)
+  for (let request = 0; request < 16; request++) {
+    const placed = placeOn(pool, 5_000 + request)
+    if (placed.kind === 'backend') backendPool.noteSent(placed.backend, 1, 5_000 + request)
+  }
+  expect([...pool.backends.values()].map(backend => backend.inFlight)).toEqual([4, 4, 4, 4])
+})
+
+/** 7 gateways, 12 ranks with 60% to 70% of their slots in use. */
+const BUSY_DAY = {
+  gateways: 7,
+  ranks: 12,
+  slots: 8,
+  requestsPerS: 45,
+  holdMs: 1_500,
+  reportIntervalMs: 100,
+  reportDelayMs: 20,
+  durationMs: 60_000
+}
+
 /** Linear congruential generator, so that the load is the same in each run. */
 function randomOf (seed: number): () => number {
   let state = seed
--- a/src/state/backend-pool.ts
+++ b/src/state/backend-pool.ts
@@ -45,6 +45,8 @@
   row: BackendRow
   load: LoadReport | undefined
   loadAtMs: number
+  /** Last sign of life: a load report or a part of a response. */
+  heardAtMs: number
   /** Requests of this gateway that the backend server has not finished. */
   inFlight: number
   /** Prompt and expected output tokens of the requests in flight. */
@@ -82,6 +84,13 @@
   replacedRanks: Map<string, Set<string>>
   /** Smoothed time from sending a request to its first event or complete response, by service. */
   firstResponseMs: Map<string, number>
+  /** Usual time since the last sign of life of a group's ranks, by name of the group. */
+  usualSilence: Map<string, UsualSilence>
+}
+
+export interface UsualSilence {
+  computedAtMs: number
+  medianMs: number
 }
 
 /** An older load report says nothing about the present load. */
@@ -108,7 +117,8 @@
     leavingSinceMs: new Map(),
     progress: new Map(),
     replacedRanks: new Map(),
-    firstResponseMs: new Map()
+    firstResponseMs: new Map(),
+    usualSilence: new Map()
   }
 }
 
@@ -134,6 +144,7 @@
     row,
     load: undefined,
     loadAtMs: 0,
+    heardAtMs: 0,
     inFlight: 0,
     inFlightTokens: 0,
     sentAtMs: [],
@@ -154,9 +165,15 @@
   if (readAtMs < backend.loadAtMs) return
   backend.load = load
   backend.loadAtMs = readAtMs
+  noteHeard(backend, readAtMs)
   backend.sentAtMs = backend.sentAtMs.filter(sentAtMs => sentAtMs > readAtMs)
 }
 
+/** Records a sign of life of a backend server. */
+export function noteHeard (backend: Backend, atMs: number): void {
+  backend.heardAtMs = Math.max(backend.heardAtMs, atMs)
+}
+
 /** Weight of a new observation in the smoothed time to the first response. */
 const FIRST_RESPONSE_WEIGHT = 0.15
 const INITIAL_FIRST_RESPONSE_MS = 150
--- a/src/state/placement.ts
+++ b/src/state/placement.ts
@@ -7,6 +7,7 @@
 
 import * as availability from './availability.js'
 import * as backendPool from './backend-pool.js'
+import * as rankSilence from './rank-silence.js'
 
 export interface PlacementQuery {
   service: string
@@ -59,8 +60,7 @@
   // A request that was sent to all of them may return to one: most refused it only because they were full.
   const eligible = preferred(ready, backend => !query.excluded.has(backend.row.id))
   const usable = preferred(eligible, backend => availability.avoidanceOf(pool, backend, query.nowMs) === undefined)
-  const free = usable.filter(backend =>
-    backendPool.estimatedRequests(backend, query.nowMs) < capacityOf(backend))
+  const free = freeOf(pool, usable, query.nowMs)
   if (free.length === 0) return { kind: 'full' }
   let best = free[0]!
   let bestCost = Infinity
@@ -71,6 +71,18 @@
   return { kind: 'backend', backend: best }
 }
 
+/**
+ * Backend servers with a free slot. A silent rank gets a request only when no other one has a free slot, and no second
+ * one before it is heard again: its agent alone may have stopped.
+ */
+function freeOf (
+  pool: backendPool.BackendPool, usable: readonly backendPool.Backend[], nowMs: number
+): backendPool.Backend[] {
+  const free = usable.filter(backend => backendPool.estimatedRequests(backend, nowMs) < capacityOf(backend))
+  const heard = free.filter(backend => !rankSilence.isSilent(pool, backend, nowMs))
+  return heard.length > 0 ? heard : free.filter(backend => !rankSilence.wasTriedInSilence(backend))
+}
+
 /** The backend servers that meet a condition, or all if none does. */
 function preferred (
   backends: backendPool.Backend[], isPreferred: (backend: backendPool.Backend) => boolean
