Learn what crashes backend servers by parts of prompts

Cause: a request was known by its key, method, path and body, and no two of these requests are equal, so nothing was ever learned; and the entry sent an interrupted stream on to the next backend server, which crashed too.

Change: what a crash interrupted before its response began is suspected, the request and each shared part of its prompt. A response that begins clears the features of its request, at all entries. One request with a suspected part is tried at a time at each entry; if it crashes its backend server too, what is left of its parts is blamed and refused for 60 to 90 s, then tried again. Several that are left are refused only together. The old record by whole requests is replaced: a whole request is one more feature.

The log now tells which request a crash interrupted and what was tried (2206), cleared (2209) and blamed (2210).

Known by whole requests only, as before, the simulated group stops more than four times; by parts, twice. Sound requests that share key, route and first part begin as before; crashes that no request caused bring no refusal.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -37,13 +37,17 @@
 
 export async function tryBackend (
   ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, tokens: number,
-  progress: streamAttempt.StreamProgress, isRetryAllowed: boolean
+  progress: streamAttempt.StreamProgress, isRetryAllowed: boolean, tried: readonly string[]
 ): Promise<call.AttemptOutcome> {
   const startedAtMs = ctx.nowMs()
   const watch = new AttemptWatch(ctx, request, backend, isRetryAllowed)
   try {
     const outcome = await runAttempt(ctx, request, backend, progress, watch)
-    noteOutcome(ctx, request, backend, outcome, watch.stopReason)
+    noteOutcome(ctx, request, backend, outcome)
+    // The next attempt depends on whether this request may have crashed the backend server.
+    if (outcome.kind === 'failed' && watch.stopReason === undefined && !watch.hasResponded) {
+      await ctx.suspects.noteBroken(request, backend.row, tried)
+    }
     ctx.metrics.attempts.inc({ outcome: outcome.kind })
     ctx.log.emit('attemptEnded', {
       request: request.id,
@@ -57,6 +61,7 @@
     return outcome
   } finally {
     watch.close()
+    ctx.suspects.end(tried)
     backendPool.noteFinished(backend, tokens)
     ctx.queue.placeWaiting()
   }
@@ -134,7 +139,8 @@
   readonly #call: call.Call
   #silenceTimeoutMs: number
   #silentSinceMs: number
-  #hasResponded = false
+  /** Whether an event or a whole response has arrived. */
+  hasResponded = false
   readonly #clientSignal: AbortSignal
   readonly #onClientGone: () => void
   #silenceTimer: NodeJS.Timeout | undefined
@@ -164,8 +170,9 @@
 
   /** Called when an event or a whole response has arrived. */
   noteEvent (): void {
-    if (!this.#hasResponded) {
-      this.#hasResponded = true
+    if (!this.hasResponded) {
+      this.hasResponded = true
+      this.#ctx.suspects.noteBegun(this.#call)
       this.#silenceTimeoutMs = EVENT_TIMEOUT_MS
       backendPool.noteFirstResponse(this.#ctx.pool, this.#call.service, this.#ctx.nowMs() - this.#sentAtMs)
     }
@@ -220,8 +227,7 @@
 }
 
 function noteOutcome (
-  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, outcome: call.AttemptOutcome,
-  stopReason: StopReason | undefined
+  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, outcome: call.AttemptOutcome
 ): void {
   const result = resultOf(outcome)
   if (result === undefined) return
@@ -230,8 +236,6 @@
       backend: backend.row.id, untilInMs: Math.round(backend.ejectedUntilMs - ctx.nowMs()), request: request.id
     })
   }
-  // A connection that breaks during a request may mean that the request crashed the backend server.
-  if (outcome.kind === 'failed' && stopReason === undefined) ctx.onBrokenConnection(request.fingerprint, backend.row)
 }
 
 function resultOf (outcome: call.AttemptOutcome): backendPool.AttemptResult | undefined {
--- a/src/coordination/gateway/call.ts
+++ b/src/coordination/gateway/call.ts
@@ -4,6 +4,7 @@
 
 import type * as http from 'node:http'
 import type * as callCodec from '../../protocol/call-codec.js'
+import type * as crashSuspects from '../../state/crash-suspects.js'
 import type * as routingTable from '../../state/routing-table.js'
 
 /** An admitted request. */
@@ -24,8 +25,7 @@
   deadlineAtMs: number
   /** The client's own deadline. */
   clientDeadlineAtMs: number
-  /** Equal for all copies of a request that a caller retries. */
-  fingerprint: string
+  features: crashSuspects.Features
   /** Aborted when the client disconnects. */
   signal: AbortSignal
 }
--- a/src/coordination/gateway/context.ts
+++ b/src/coordination/gateway/context.ts
@@ -4,19 +4,19 @@
 
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as backendPool from '../../state/backend-pool.js'
-import type * as crashRecord from '../../state/crash-record.js'
 import type * as routingTable from '../../state/routing-table.js'
 import type * as sharedRetryBudget from '../../state/shared-retry-budget.js'
 import type * as runtime from '../runtime.js'
 import type * as bufferBudget from '../../transport/buffer-budget.js'
 import type * as serviceQueue from './service-queue.js'
+import type * as suspectGate from './suspect-gate.js'
 
 export interface GatewayContext extends runtime.Runtime {
   codec: callCodec.CallCodec
   failureDomain: string
   pool: backendPool.BackendPool
   queue: serviceQueue.ServiceQueue
-  crashes: crashRecord.CrashRecord
+  suspects: suspectGate.SuspectGate
   budgets: Map<string, sharedRetryBudget.SharedRetryBudget>
   /** Limits of the retry budget that all gateways share. */
   budgetOptions: () => sharedRetryBudget.BudgetOptions
@@ -30,6 +30,4 @@
   responseBuffers: bufferBudget.BufferBudget
   /** Called when a response announced that its backend server leaves. */
   onLeaving: (row: backendPool.BackendRow) => void
-  /** Called when a connection to a backend server broke during this request; the server may have crashed. */
-  onBrokenConnection: (fingerprint: string, row: backendPool.BackendRow) => void
 }
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -10,7 +10,6 @@
 import * as backendPool from '../../state/backend-pool.js'
 import * as backendTable from '../../state/backend-table.js'
 import * as clusterView from '../../state/cluster-view.js'
-import * as crashRecord from '../../state/crash-record.js'
 import * as feedSchedule from '../../state/feed-schedule.js'
 import * as peerSchedule from '../../state/peer-schedule.js'
 import * as bufferBudget from '../../transport/buffer-budget.js'
@@ -19,9 +18,9 @@
 import * as peerLinks from '../cluster/peer-links.js'
 import * as sharedDocuments from '../cluster/shared-documents.js'
 import * as tableWatch from '../cluster/table-watch.js'
-import * as crashProbe from './crash-probe.js'
 import * as serveCall from './serve-call.js'
 import * as serviceQueue from './service-queue.js'
+import * as suspectGate from './suspect-gate.js'
 import type * as controlStore from '../../protocol/control-store.js'
 import type * as peerMessage from '../../protocol/peer-message.js'
 import type * as platformAdapter from '../../protocol/platform-adapter.js'
@@ -103,7 +102,11 @@
         gatewayCount: () => this.#gatewayCount(),
         signal
       }),
-      crashes: crashRecord.createCrashRecord(),
+      suspects: new suspectGate.SuspectGate({
+        runtime: env,
+        broadcast: message => { this.#peers.broadcast(message, 'entry') },
+        signal
+      }),
       budgets: new Map(),
       budgetOptions: () => ({
         ratio: options.retryRatio,
@@ -119,8 +122,7 @@
         if (this.#noteLeaving(row, 'response')) {
           this.#peers.broadcast({ kind: 'leaving', backendId: row.id, startedAtUnixMs: row.startedAtUnixMs }, 'entry')
         }
-      },
-      onBrokenConnection: (fingerprint, row) => { this.#checkForCrash(fingerprint, row) }
+      }
     }
   }
 
@@ -241,7 +243,9 @@
       this.#context.queue.placeWaiting()
     } else if (message.kind === 'leaving') {
       this.#noteLeaving({ id: message.backendId, startedAtUnixMs: message.startedAtUnixMs }, 'peer')
-    } else if (message.kind === 'crash') crashRecord.noteCrash(this.#context.crashes, message.fingerprint, message.backendId, nowMs)
+    } else if (message.kind === 'crash' || message.kind === 'cleared' || message.kind === 'blamed') {
+      this.#context.suspects.receive(message)
+    }
   }
 
   /** @returns whether it was not known that the instance leaves. */
@@ -251,15 +255,6 @@
     return isNew
   }
 
-  /** A backend server counts as crashed only if it refuses new connections. */
-  async #checkForCrash (fingerprint: string, row: backendPool.BackendRow): Promise<void> {
-    if (!await crashProbe.hasCrashed(row.address, this.#signal)) return
-    const incarnation = `${row.id} ${row.startedAtUnixMs}`
-    this.#env.log.emit('crashNoted', { backend: row.id, startedAtUnixMs: row.startedAtUnixMs })
-    crashRecord.noteCrash(this.#context.crashes, fingerprint, incarnation, this.#env.nowMs())
-    this.#peers.broadcast({ kind: 'crash', fingerprint, backendId: incarnation }, 'entry')
-  }
-
   #applyLimits (table: routingTable.RoutingTable): void {
     if (this.#clientServer === undefined) return
     const { headerTimeoutMs, idleTimeoutMs } = table.configuration.limits
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -3,10 +3,10 @@
  * that is safe, and sends the final response.
  */
 
+import * as crypto from 'node:crypto'
 import type * as http from 'node:http'
 import * as routingTable from '../../state/routing-table.js'
 import * as backendPool from '../../state/backend-pool.js'
-import * as crashRecord from '../../state/crash-record.js'
 import * as sharedRetryBudget from '../../state/shared-retry-budget.js'
 import * as waitQueue from '../../state/wait-queue.js'
 import * as attempt from './attempt.js'
@@ -15,8 +15,10 @@
 import * as retries from './retries.js'
 import * as replies from './reply.js'
 import type * as callCodec from '../../protocol/call-codec.js'
+import type * as crashSuspects from '../../state/crash-suspects.js'
 import type * as context from './context.js'
 import type * as streamAttempt from './stream-attempt.js'
+import type * as suspectGate from './suspect-gate.js'
 
 /** Time reserved before the client's deadline for the response to reach the client. */
 const RESPONSE_TRANSIT_MS = 10
@@ -70,10 +72,6 @@
     reply.refuse('process_stopping', 50)
     return
   }
-  if (crashRecord.isRefused(ctx.crashes, call.fingerprint, ctx.nowMs())) {
-    reply.reject(500, 'request_crashes_backend_servers')
-    return
-  }
   sharedRetryBudget.noteRequest(retries.budgetOf(ctx, call.service), arrivedAtMs)
   await runCall(ctx, call, reply)
 }
@@ -113,11 +111,24 @@
       priority: (team.kind === 'team' ? team.team.priority : undefined) ?? route.priority,
       deadlineAtMs: Math.min(clientDeadlineAtMs, arrivedAtMs + route.timeoutMs) - RESPONSE_TRANSIT_MS,
       clientDeadlineAtMs,
-      fingerprint: `${head.key ?? ''} ${request.method ?? ''} ${request.url ?? ''} ${received.body.toString('latin1', 0, 4_096)}`
+      features: featuresOf(received, service)
     }
   }
 }
 
+/** Bytes of a body that tell requests apart. */
+const HASHED_BODY_BYTES = 4_096
+
+function featuresOf ({ request, head, body }: ReceivedRequest, service: string): crashSuspects.Features {
+  const hash = crypto.createHash('sha1')
+    .update(`${head.key ?? ''} ${request.method ?? ''} ${request.url ?? ''} `)
+    .update(body.subarray(0, HASHED_BODY_BYTES))
+  return {
+    request: `request ${hash.digest('base64url')}`,
+    parts: [...new Set(head.sharedPartIds)].map(id => `part ${service} ${id}`)
+  }
+}
+
 /** State of a request across its attempts. */
 interface CallHistory {
   /** Backend servers that did not accept or did not complete the request. */
@@ -151,6 +162,11 @@
     (call.engine === undefined ? 0 : callModule.expectedOutputTokens(call.head, call.engine))
   const serviceMs = callModule.expectedServiceMs(call)
   for (;;) {
+    const entered = await ctx.suspects.enter(call, latestStartMs(ctx, call, history, serviceMs))
+    if (entered !== 'open') {
+      endSuspected(call, history, reply, entered)
+      return
+    }
     const queuedAtMs = ctx.nowMs()
     const firstResponseMs = backendPool.firstResponseMs(ctx.pool, call.service)
     const placed = await ctx.queue.acquire({
@@ -168,6 +184,7 @@
       tokens,
       signal: call.signal
     })
+    if (placed.kind !== 'placed') ctx.suspects.leave(call)
     if (placed.kind === 'aborted') {
       reply.clientGone('while the request waited')
       return
@@ -177,6 +194,12 @@
       return
     }
     const { backend } = placed
+    const tried = ctx.suspects.start(call)
+    if (tried === undefined) {
+      backendPool.noteFinished(backend, tokens)
+      ctx.queue.placeWaiting()
+      continue
+    }
     ctx.log.emit('backendChosen', {
       request: call.id,
       route: call.route.name,
@@ -191,7 +214,8 @@
       lastEventId: history.progress.lastEventId
     })
     const outcome = await attempt.tryBackend(
-      ctx, call, backend, tokens, history.progress, history.runs + 1 < call.route.maxServers
+      ctx, call, backend, tokens, history.progress, history.runs + 1 < call.route.maxServers,
+      tried
     )
     const next = handleOutcome(ctx, call, history, outcome, backend.row.id, reply)
     if (next === 'done') return
@@ -233,7 +257,6 @@
   history.offers += 1
   switch (outcome.kind) {
     case 'delivered':
-      crashRecord.noteSuccess(ctx.crashes, call.fingerprint)
       reply.delivered(outcome.status, call.route, history.progress)
       return 'done'
     case 'client_gone':
@@ -244,7 +267,6 @@
       return 'done'
     case 'response':
       if (outcome.status < 500) {
-        crashRecord.noteSuccess(ctx.crashes, call.fingerprint)
         reply.forwardResponse(outcome, call.route, history.progress)
         return 'done'
       }
@@ -290,6 +312,19 @@
   return 'done'
 }
 
+/** Pause after which a client may send a request again that waited for the trial of another one. */
+const SUSPECTED_RETRY_AFTER_MS = 300
+
+/** Ends a request that would crash a backend server, or that waited in vain to learn whether it would. */
+function endSuspected (
+  call: callModule.Call, history: CallHistory, reply: replies.Reply, result: Exclude<suspectGate.EnterResult, 'open'>
+): void {
+  if (result === 'aborted') reply.clientGone('while the request waited')
+  else if (result === 'too_late') giveUp(call, history, reply, 'suspected', SUSPECTED_RETRY_AFTER_MS)
+  else if (history.progress.hasHead) reply.cut('request_crashes_backend_servers')
+  else reply.reject(500, 'request_crashes_backend_servers')
+}
+
 /** Ends a request for which no backend server was found. */
 function giveUp (
   call: callModule.Call, history: CallHistory, reply: replies.Reply, reason: string, retryAfterMs: number
--- /dev/null
+++ b/src/coordination/gateway/suspect-gate.ts
@@ -0,0 +1,157 @@
+/**
+ * Holds requests that may crash backend servers until it is known whether they do, and tells the other gateways what
+ * this one has learned.
+ */
+
+import * as timers from 'node:timers/promises'
+import * as crashSuspects from '../../state/crash-suspects.js'
+import * as crashProbe from './crash-probe.js'
+import type * as peerMessage from '../../protocol/peer-message.js'
+import type * as backendPool from '../../state/backend-pool.js'
+import type * as runtime from '../runtime.js'
+
+export interface SuspectGateOptions {
+  runtime: runtime.Runtime
+  broadcast: (message: peerMessage.PeerMessage) => void
+  signal: AbortSignal
+}
+
+/** A request as far as the gate is concerned. */
+export interface GatedCall {
+  id: string
+  features: crashSuspects.Features
+  /** Aborted when the client disconnects. */
+  signal: AbortSignal
+}
+
+interface Waiting {
+  /** Number of suspected features. */
+  suspected: number
+  /** When a slot was free for the request for the first time since the last crash. */
+  offeredAtMs: number | undefined
+}
+
+export type EnterResult = 'open' | 'blamed' | 'too_late' | 'aborted'
+
+const CHECK_INTERVAL_MS = 20
+/** Interval at which blamed features are repeated, for gateways that have started or were cut off. */
+const REPEAT_BLAMED_MS = 500
+
+export class SuspectGate {
+  readonly #options: SuspectGateOptions
+  readonly #state = crashSuspects.createCrashSuspects()
+  /** Requests with suspected features that have not been sent. */
+  readonly #waiting = new Map<GatedCall, Waiting>()
+
+  constructor (options: SuspectGateOptions) {
+    this.#options = options
+    const timer = setInterval(() => { this.#repeatBlamed() }, REPEAT_BLAMED_MS)
+    options.signal.addEventListener('abort', () => { clearInterval(timer) }, { once: true })
+  }
+
+  /** Waits until the request may be sent. @param latestMs time after which it can't be served any more. */
+  async enter (call: GatedCall, latestMs: number): Promise<EnterResult> {
+    const { nowMs } = this.#options.runtime
+    for (;;) {
+      const verdict = this.#judge(call)
+      if (verdict === 'run' || verdict === 'try') return 'open'
+      if (verdict === 'blamed' || call.signal.aborted || nowMs() > latestMs) {
+        this.leave(call)
+        return verdict === 'blamed' ? 'blamed' : call.signal.aborted ? 'aborted' : 'too_late'
+      }
+      await timers.setTimeout(CHECK_INTERVAL_MS)
+    }
+  }
+
+  /**
+   * Decides again when a slot is free, since other requests may have been sent meanwhile.
+   * @returns the suspected features that the request tries out; undefined if it may not be sent now.
+   */
+  start (call: GatedCall): string[] | undefined {
+    const nowMs = this.#options.runtime.nowMs()
+    const waiting = this.#waiting.get(call)
+    if (waiting !== undefined) waiting.offeredAtMs ??= nowMs
+    const verdict = this.#judge(call)
+    if (verdict !== 'run' && verdict !== 'try') return undefined
+    this.leave(call)
+    const tried = crashSuspects.suspectedFeatures(this.#state, call.features, nowMs)
+    crashSuspects.startTrial(this.#state, tried, nowMs)
+    return tried
+  }
+
+  /** Called when a request that entered will not be sent. */
+  leave (call: GatedCall): void {
+    this.#waiting.delete(call)
+  }
+
+  /** Called when an attempt has ended. */
+  end (tried: readonly string[]): void {
+    crashSuspects.endTrial(this.#state, tried)
+  }
+
+  /** Called when the response of a backend server begins. */
+  noteBegun (call: GatedCall): void {
+    const cleared = crashSuspects.noteBegun(this.#state, call.features)
+    if (cleared.length === 0) return
+    this.#options.runtime.log.emit('crashSuspicionCleared', { request: call.id, features: cleared })
+    this.#options.broadcast({ kind: 'cleared', features: cleared })
+    this.#applyCleared(cleared)
+  }
+
+  /**
+   * Called when a connection broke before the response began. The backend server counts as crashed only if it refuses
+   * new connections.
+   */
+  async noteBroken (call: GatedCall, row: backendPool.BackendRow, tried: readonly string[]): Promise<void> {
+    const { runtime: { log }, broadcast, signal } = this.#options
+    if (!await crashProbe.hasCrashed(row.address, signal)) return
+    log.emit('crashNoted', { request: call.id, backend: row.id, startedAtUnixMs: row.startedAtUnixMs, tried })
+    const interrupted = { ...call.features, backend: `${row.id} ${row.startedAtUnixMs}`, tried }
+    broadcast({ kind: 'crash', interrupted })
+    this.#noteCrash(interrupted)
+  }
+
+  /** Applies a message of another gateway. */
+  receive (message: peerMessage.CrashMessage): void {
+    const nowMs = this.#options.runtime.nowMs()
+    if (message.kind === 'crash') this.#noteCrash(message.interrupted)
+    else if (message.kind === 'cleared') this.#applyCleared(message.features)
+    else crashSuspects.applyBlamed(this.#state, message.features, nowMs)
+  }
+
+  #judge (call: GatedCall): crashSuspects.Verdict {
+    if (this.#state.suspects.size === 0) {
+      this.leave(call)
+      return 'run'
+    }
+    const nowMs = this.#options.runtime.nowMs()
+    const suspected = crashSuspects.suspectedFeatures(this.#state, call.features, nowMs)
+    const offeredAtMs = this.#waiting.get(call)?.offeredAtMs
+    if (suspected.length === 0) this.leave(call)
+    else this.#waiting.set(call, { suspected: suspected.length, offeredAtMs })
+    return crashSuspects.judge(this.#state, call.features, {
+      fewestSuspected: Math.min(...[...this.#waiting.values()].map(waiting => waiting.suspected)),
+      offeredForMs: offeredAtMs === undefined ? Infinity : nowMs - offeredAtMs
+    }, nowMs)
+  }
+
+  #noteCrash (interrupted: crashSuspects.InterruptedRequest): void {
+    const { nowMs, random } = this.#options.runtime
+    for (const waiting of this.#waiting.values()) waiting.offeredAtMs = undefined
+    this.#logBlamed(crashSuspects.noteCrash(this.#state, interrupted, nowMs(), random))
+  }
+
+  #applyCleared (features: readonly string[]): void {
+    const { nowMs, random } = this.#options.runtime
+    this.#logBlamed(crashSuspects.applyCleared(this.#state, features, nowMs(), random))
+  }
+
+  #logBlamed (blamed: readonly string[]): void {
+    if (blamed.length > 0) this.#options.runtime.log.emit('crashCauseBlamed', { features: blamed })
+  }
+
+  #repeatBlamed (): void {
+    const features = crashSuspects.blamedFeatures(this.#state, this.#options.runtime.nowMs())
+    if (features.length > 0) this.#options.broadcast({ kind: 'blamed', features })
+  }
+}
--- a/src/protocol/call-codec.ts
+++ b/src/protocol/call-codec.ts
@@ -14,6 +14,8 @@
   remainingMs: number | undefined
   key: string | undefined
   promptTokens: number
+  /** Ids of the prompt's parts that other requests may share: all but the last one. */
+  sharedPartIds: string[]
   maxOutputTokens: number
   /** The client's estimate of the output tokens, often far off. */
   estimatedOutputTokens: number | undefined
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -82,6 +82,8 @@
   crashNoted: { number: 2206, level: 'warn', text: 'a backend server crashed while it ran a request' },
   backendLeaving: { number: 2207, level: 'info', text: 'a backend server has announced that it leaves' },
   backendPaused: { number: 2208, level: 'info', text: 'a backend server wants no requests from this process for a time' },
+  crashSuspicionCleared: { number: 2209, level: 'info', text: 'a response began whose request shares features with one that a crash interrupted' },
+  crashCauseBlamed: { number: 2210, level: 'warn', text: 'requests with a feature are refused because it crashes backend servers' },
   peerHeard: { number: 3101, level: 'info', text: 'the first message of a peer was received' },
   peerSendFailed: { number: 3102, level: 'warn', text: 'a datagram to a peer could not be sent' },
   peerFetchFailed: { number: 3103, level: 'warn', text: 'documents could not be fetched from a peer' },
--- a/src/protocol/peer-message.ts
+++ b/src/protocol/peer-message.ts
@@ -8,6 +8,7 @@
 import * as peerAddress from '../state/peer-address.js'
 import type * as backendPool from '../state/backend-pool.js'
 import type * as clusterView from '../state/cluster-view.js'
+import type * as crashSuspects from '../state/crash-suspects.js'
 import type * as rankSwitch from '../state/rank-switch.js'
 
 export type PeerMessage =
@@ -17,11 +18,17 @@
   | { kind: 'rank', group: string, state: rankSwitch.RankState, ageMs: number }
   /** From the lead of a group to the agents: who leads, and in which term. */
   | { kind: 'lead', group: string, term: number, address: string }
-  /** Between entries: a backend server crashed while it ran the request with the fingerprint. */
-  | { kind: 'crash', fingerprint: string, backendId: string }
+  | CrashMessage
   /** Between entries: an instance of a backend server has said that it leaves. */
   | { kind: 'leaving', backendId: string, startedAtUnixMs: number }
 
+/** Between entries: what one of them has learned about the causes of crashes. */
+export type CrashMessage =
+  | { kind: 'crash', interrupted: crashSuspects.InterruptedRequest }
+  /** Responses to requests with these features have begun since. */
+  | { kind: 'cleared', features: string[] }
+  | { kind: 'blamed', features: (readonly [feature: string, remainingMs: number])[] }
+
 /** From an agent to the entries: load of the rank at an address. */
 export interface LoadMessage {
   kind: 'load'
@@ -35,7 +42,7 @@
   ageMs: number
 }
 
-const NAMED_KINDS = new Set<string>(['rank', 'lead', 'crash', 'leaving'] satisfies PeerMessage['kind'][])
+const NAMED_KINDS = new Set<string>(['rank', 'lead', 'leaving'] satisfies PeerMessage['kind'][])
 
 /** Maximum number of peer addresses in one status message, which keeps a datagram below the usual 1,400 bytes. */
 export const MAX_KNOWN_ADDRESSES = 40
@@ -52,6 +59,7 @@
     const parsed = JSON.parse(bytes.toString('utf8')) as unknown
     if (Array.isArray(parsed)) return parsed[0] === 'load' ? decodeLoad(parsed) : decodeStatus(parsed)
     const named = parsed as Partial<PeerMessage> | null
+    if (isCrashMessage(named)) return named
     if (named?.kind !== undefined && NAMED_KINDS.has(named.kind)) return named as PeerMessage
   } catch {
     // Not JSON, so not sent by a process of this system.
@@ -59,6 +67,21 @@
   return undefined
 }
 
+function isCrashMessage (message: Partial<PeerMessage> | null): message is CrashMessage {
+  if (message?.kind === 'cleared') return isTextList(message.features)
+  if (message?.kind === 'blamed') {
+    return Array.isArray(message.features) && message.features.every(entry =>
+      Array.isArray(entry) && typeof entry[0] === 'string' && Number.isFinite(entry[1]))
+  }
+  if (message?.kind !== 'crash') return false
+  const { request, backend, parts, tried } = message.interrupted ?? {}
+  return typeof request === 'string' && typeof backend === 'string' && isTextList(parts) && isTextList(tried)
+}
+
+function isTextList (value: unknown): value is string[] {
+  return Array.isArray(value) && value.every(item => typeof item === 'string')
+}
+
 /** Decimals of a slowdown factor that placement can tell apart. */
 const SLOWDOWN_DECIMALS = 2
 
--- /dev/null
+++ b/src/state/__tests__/crash-simulation.ts
@@ -0,0 +1,202 @@
+/**
+ * Simulates gateways before one lock-step group, some of whose requests crash the rank that begins their response. A
+ * crash stops the whole group for seconds.
+ */
+
+import * as crashSuspects from '../crash-suspects.js'
+
+export interface CrashLoad {
+  gateways: number
+  ranks: number
+  requestsPerS: number
+  /** Share of the first class's requests that have the deadly part. */
+  deadlyShare: number
+  deadlyFromMs: number
+  deadlyUntilMs: number
+  /** Times at which a rank crashes for a reason other than a request. */
+  killsAtMs: number[]
+  durationMs: number
+  /** What a gateway knows of a request. */
+  featuresOf: (request: SimulatedRequest) => crashSuspects.Features
+  /** Uniform in [0, 1). */
+  random: () => number
+}
+
+export interface SimulatedRequest {
+  id: number
+  atMs: number
+  isDeadly: boolean
+  /** Ids of all parts of the prompt; the last one is the request's own. */
+  parts: string[]
+  /** When it could have been sent for the first time since the last crash. */
+  offeredAtMs: number | undefined
+  begunAtMs: number | undefined
+  attempts: number
+  wasRefused: boolean
+}
+
+export interface CrashResult {
+  requests: SimulatedRequest[]
+  /** Times at which a deadly request crashed a rank. */
+  crashesAtMs: number[]
+  /** Times at which requests with the deadly part were sent to a rank. */
+  deadlySentAtMs: number[]
+  /** Number of times that the group stopped. */
+  outages: number
+}
+
+const CLASSES = 3
+const DOCUMENTS_PER_CLASS = 40
+const FIRST_RESPONSE_MS = 150
+/** Time from a crash until the group is open again. */
+const OUTAGE_MS = 3_500
+/** Time after which requests in the group are cut off once a rank is dead. */
+const STALL_MS = 1_500
+/** Time from a crash until the gateway whose connection broke is sure of it. */
+const DETECTION_MS = 45
+const MESSAGE_DELAY_MS = 2
+const CHECK_INTERVAL_MS = 20
+/** Clients leave a stream without an event after this time. */
+const PATIENCE_MS = 2_000
+
+interface Running {
+  request: SimulatedRequest
+  gateway: number
+  rank: number
+  tried: string[]
+  isOver: boolean
+}
+
+/** Runs the simulation. */
+export function simulateCrashes (load: CrashLoad): CrashResult {
+  const { random, featuresOf } = load
+  const states = Array.from({ length: load.gateways }, () => crashSuspects.createCrashSuspects())
+  const waiting: SimulatedRequest[][] = Array.from({ length: load.gateways }, () => [])
+  const running = new Set<Running>()
+  const events: { atMs: number, act: () => void }[] = []
+  const result: CrashResult = { requests: [], crashesAtMs: [], deadlySentAtMs: [], outages: 0 }
+  let [nowMs, openAtMs, incarnation] = [0, 0, 0]
+  at(0, arrive)
+  at(0, check)
+  for (const killAtMs of load.killsAtMs) at(killAtMs, () => { crash(Math.floor(random() * load.ranks)) })
+  while (nowMs < load.durationMs) {
+    const next = events.shift()!
+    nowMs = next.atMs
+    next.act()
+  }
+  return result
+
+  function at (atMs: number, act: () => void): void {
+    let index = events.length
+    while (index > 0 && events[index - 1]!.atMs > atMs) index -= 1
+    events.splice(index, 0, { atMs, act })
+  }
+
+  function arrive (): void {
+    at(nowMs - Math.log(1 - random()) * 1_000 / load.requestsPerS, arrive)
+    const kind = Math.floor(random() * CLASSES)
+    const isDeadlyTime = nowMs >= load.deadlyFromMs && nowMs < load.deadlyUntilMs
+    const isDeadly = kind === 0 && random() < load.deadlyShare && isDeadlyTime
+    const id = result.requests.length
+    const document = `document-${kind}-${Math.floor(random() * DOCUMENTS_PER_CLASS)}`
+    const request: SimulatedRequest = {
+      id,
+      atMs: nowMs,
+      isDeadly,
+      parts: [`class-${kind}`, isDeadly ? 'deadly' : document, `own-${id}`],
+      offeredAtMs: undefined,
+      begunAtMs: undefined,
+      attempts: 0,
+      wasRefused: false
+    }
+    result.requests.push(request)
+    waiting[Math.floor(random() * load.gateways)]!.push(request)
+  }
+
+  function check (): void {
+    at(nowMs + CHECK_INTERVAL_MS, check)
+    for (let gateway = 0; gateway < load.gateways; gateway++) serveWaiting(gateway)
+  }
+
+  function serveWaiting (gateway: number): void {
+    const state = states[gateway]!
+    const present = waiting[gateway]!.filter(request => nowMs - request.atMs < PATIENCE_MS)
+    waiting[gateway] = present
+    if (nowMs < openAtMs) return
+    const counts = present.map(request => crashSuspects.suspectedFeatures(state, featuresOf(request), nowMs).length)
+    const fewest = Math.min(...counts.filter(count => count > 0))
+    waiting[gateway] = present.filter(request => {
+      request.offeredAtMs ??= nowMs
+      const verdict = crashSuspects.judge(state, featuresOf(request), {
+        fewestSuspected: fewest, offeredForMs: nowMs - request.offeredAtMs
+      }, nowMs)
+      if (verdict === 'blamed') request.wasRefused = true
+      else if (verdict !== 'wait') send(gateway, request)
+      return verdict === 'wait'
+    })
+  }
+
+  function send (gateway: number, request: SimulatedRequest): void {
+    const state = states[gateway]!
+    const tried = crashSuspects.suspectedFeatures(state, featuresOf(request), nowMs)
+    crashSuspects.startTrial(state, tried, nowMs)
+    request.attempts += 1
+    if (request.isDeadly) result.deadlySentAtMs.push(nowMs)
+    const run: Running = { request, gateway, rank: Math.floor(random() * load.ranks), tried, isOver: false }
+    running.add(run)
+    at(nowMs + FIRST_RESPONSE_MS * (0.5 + random()), () => { begin(run) })
+  }
+
+  function begin (run: Running): void {
+    if (run.isOver || nowMs < openAtMs) return
+    if (run.request.isDeadly) {
+      result.crashesAtMs.push(nowMs)
+      crash(run.rank)
+      return
+    }
+    end(run)
+    run.request.begunAtMs = nowMs
+    const cleared = crashSuspects.noteBegun(states[run.gateway]!, featuresOf(run.request))
+    if (cleared.length === 0) return
+    at(nowMs + MESSAGE_DELAY_MS, () => {
+      for (const state of states) crashSuspects.applyCleared(state, cleared, nowMs, random)
+    })
+  }
+
+  function end (run: Running): void {
+    run.isOver = true
+    running.delete(run)
+    crashSuspects.endTrial(states[run.gateway]!, run.tried)
+  }
+
+  function crash (rank: number): void {
+    if (nowMs >= openAtMs) result.outages += 1
+    openAtMs = nowMs + OUTAGE_MS
+    for (const request of waiting.flat()) request.offeredAtMs = undefined
+    const backend = `rank-${rank} ${incarnation++}`
+    for (const run of [...running]) {
+      if (run.rank === rank) interrupt(run, backend)
+      else at(nowMs + STALL_MS, () => { requeue(run) })
+    }
+  }
+
+  function interrupt (run: Running, backend: string): void {
+    end(run)
+    const interrupted = { ...featuresOf(run.request), backend, tried: run.tried }
+    at(nowMs + DETECTION_MS, () => {
+      crashSuspects.noteCrash(states[run.gateway]!, interrupted, nowMs, random)
+      run.request.offeredAtMs = undefined
+      waiting[run.gateway]!.push(run.request)
+    })
+    at(nowMs + DETECTION_MS + MESSAGE_DELAY_MS, () => {
+      for (const state of states) crashSuspects.noteCrash(state, interrupted, nowMs, random)
+    })
+  }
+
+  function requeue (run: Running): void {
+    if (run.isOver) return
+    end(run)
+    run.request.offeredAtMs = undefined
+    waiting[run.gateway]!.push(run.request)
+  }
+}
--- /dev/null
+++ b/src/state/__tests__/crash-suspects.spec.ts
@@ -0,0 +1,160 @@
+import * as vitest from 'vitest'
+import * as crashSimulation from './crash-simulation.js'
+import * as crashSuspects from '../crash-suspects.js'
+
+const { expect, test } = vitest
+
+/** The platform's time after which a process is expected to have heard of a change. */
+const CONTACT_MS = 3_000
+/** A crash counts as learned from after this many. */
+const LEARNING_CRASHES = 5
+/** Requests with the deadly part that may still be sent afterwards. */
+const MAX_SENT_AFTERWARDS = 3
+/** No other request waits. */
+const ALONE: crashSuspects.WaitingState = { fewestSuspected: Infinity, offeredForMs: Infinity }
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]
+
+const DAY: Omit<crashSimulation.CrashLoad, 'random'> = {
+  gateways: 8,
+  ranks: 12,
+  requestsPerS: 40,
+  deadlyShare: 0.05,
+  deadlyFromMs: 4_000,
+  deadlyUntilMs: 60_000,
+  killsAtMs: [],
+  durationMs: 70_000,
+  featuresOf: request => ({ request: `request ${request.id}`, parts: request.parts.slice(0, -1) })
+}
+
+const simulate = (seed: number, fields: Partial<crashSimulation.CrashLoad> = {}): crashSimulation.CrashResult =>
+  crashSimulation.simulateCrashes({ ...DAY, ...fields, random: randomOf(seed) })
+
+// Guards against requests with one deadly part that crash a backend server each, since no two are equal.
+test('requests with a part that crashes backend servers stop a group twice at most', () => {
+  const outages = SEEDS.map(seed => simulate(seed).outages)
+  expect(Math.max(...outages)).toBeLessThanOrEqual(2)
+  expect(Math.min(...outages)).toBeGreaterThan(0)
+})
+
+test('a gateway that knows requests only as a whole learns nothing of their parts', () => {
+  const outages = SEEDS.map(seed => simulate(seed, {
+    featuresOf: request => ({ request: `request ${request.id}`, parts: [] })
+  }).outages)
+  expect(Math.min(...outages)).toBeGreaterThan(4)
+})
+
+// Guards against requests with a deadly part that are still sent when its crashes are known everywhere.
+test('after five crashes hardly any request with the deadly part is sent', () => {
+  for (const seed of SEEDS) {
+    const { crashesAtMs, deadlySentAtMs } = simulate(seed, { deadlyShare: 0.5 })
+    expect(crashesAtMs.length).toBeGreaterThan(1)
+    const knownAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? Infinity) + CONTACT_MS
+    expect(deadlySentAtMs.filter(sentAtMs => sentAtMs > knownAtMs).length).toBeLessThanOrEqual(MAX_SENT_AFTERWARDS)
+  }
+})
+
+// Guards against blame for the caller, route or class of the requests that crash backend servers.
+test('sound requests that share other parts begin as often as without the deadly ones', () => {
+  for (const seed of SEEDS) {
+    const { requests, crashesAtMs } = simulate(seed)
+    const learnedAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? crashesAtMs.at(-1)!) + 2 * CONTACT_MS
+    const sound = requests.filter(request => request.parts[0] === 'class-0' && !request.isDeadly)
+    const during = shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < DAY.deadlyUntilMs - 2_000))
+    const outside = shareBegunAtOnce(sound.filter(({ atMs }) => atMs < DAY.deadlyFromMs))
+    expect(during).toBeGreaterThan(outside / 2)
+  }
+})
+
+// Guards against requests that crash one backend server after the other because none of their parts can be cleared.
+test('parts that only occur together are refused together', () => {
+  const state = crashSuspects.createCrashSuspects()
+  const parts = ['part a', 'part b']
+  crashSuspects.noteCrash(state, { request: 'r1', parts, backend: 'b1', tried: [] }, 0, () => 0)
+  crashSuspects.noteCrash(state, { request: 'r2', parts, backend: 'b2', tried: parts }, 1_000, () => 0)
+  expect(crashSuspects.judge(state, { request: 'r3', parts }, ALONE, 2_000)).toBe('blamed')
+  const other = { request: 'r4', parts: ['part a', 'part c'] }
+  expect(crashSuspects.judge(state, other, ALONE, 2_000)).toBe('try')
+  crashSuspects.applyCleared(state, crashSuspects.noteBegun(state, other), 2_100, () => 0)
+  expect(crashSuspects.judge(state, { request: 'r5', parts: ['part d', 'part b'] }, ALONE, 2_200)).toBe('blamed')
+  expect(crashSuspects.judge(state, other, ALONE, 2_200)).toBe('run')
+})
+
+// Guards against gateways that each try a blamed part again, one after the other.
+test('a part that is tried again after a long time stops the group once', () => {
+  for (const seed of SEEDS) {
+    expect(simulate(seed, { deadlyUntilMs: 130_000, durationMs: 130_000 }).outages).toBeLessThanOrEqual(3)
+  }
+})
+
+// Guards against refusals after a crash that no request caused.
+test('a backend server that crashes by itself brings blame on no request', () => {
+  for (const seed of SEEDS) {
+    const killsAtMs = [5_000, 5_000, 5_000, 15_000, 25_000, 25_000]
+    const { requests } = simulate(seed, { deadlyShare: 0, killsAtMs, durationMs: 30_000 })
+    expect(requests.filter(request => request.wasRefused)).toEqual([])
+    const later = requests.filter(({ atMs }) => atMs > 20_000 && atMs < 24_000)
+    expect(shareBegunAtOnce(later)).toBeGreaterThan(0.95)
+  }
+})
+
+// Guards against a part that stays refused although its cause has been mended.
+test('a blamed part is served again some time after it was mended', () => {
+  const state = crashSuspects.createCrashSuspects()
+  blame(state, 'part a')
+  expect(crashSuspects.judge(state, { request: 'r9', parts: ['part a'] }, ALONE, 20_000)).toBe('blamed')
+  expect(crashSuspects.judge(state, { request: 'r9', parts: ['part a'] }, ALONE, 61_000)).toBe('try')
+  crashSuspects.noteBegun(state, { request: 'r9', parts: ['part a'] })
+  expect(crashSuspects.judge(state, { request: 'r10', parts: ['part a'] }, ALONE, 61_100)).toBe('run')
+})
+
+// Guards against a gateway that has just started and sends what the others refuse.
+test('a gateway that has started learns what the others blame', () => {
+  const [first, second] = [crashSuspects.createCrashSuspects(), crashSuspects.createCrashSuspects()]
+  blame(first, 'part a')
+  crashSuspects.applyBlamed(second, crashSuspects.blamedFeatures(first, 1_000), 1_000)
+  expect(crashSuspects.judge(second, { request: 'r9', parts: ['part a'] }, ALONE, 1_001)).toBe('blamed')
+})
+
+// Guards against gateways that renew each other's blame without end.
+test('blame that gateways repeat to each other ends', () => {
+  const [first, second] = [crashSuspects.createCrashSuspects(), crashSuspects.createCrashSuspects()]
+  blame(first, 'part a')
+  for (let nowMs = 0; nowMs < 200_000; nowMs += 500) {
+    crashSuspects.applyBlamed(second, crashSuspects.blamedFeatures(first, nowMs), nowMs)
+    crashSuspects.applyBlamed(first, crashSuspects.blamedFeatures(second, nowMs), nowMs)
+  }
+  expect(crashSuspects.judge(first, { request: 'r9', parts: ['part a'] }, ALONE, 200_000)).not.toBe('blamed')
+})
+
+// Guards against an exact copy of a request that goes from one backend server to the next.
+test('a request that crashed two backend servers is refused, and others with its parts are not', () => {
+  const state = crashSuspects.createCrashSuspects()
+  const features = { request: 'r1', parts: ['part a'] }
+  crashSuspects.noteCrash(state, { ...features, backend: 'b1', tried: [] }, 0, () => 0)
+  crashSuspects.noteBegun(state, { request: 'r2', parts: ['part a'] })
+  expect(crashSuspects.judge(state, features, ALONE, 1)).toBe('try')
+  crashSuspects.noteCrash(state, { ...features, backend: 'b2', tried: ['r1'] }, 2, () => 0)
+  crashSuspects.noteBegun(state, { request: 'r3', parts: ['part a'] })
+  expect(crashSuspects.judge(state, features, ALONE, 3)).toBe('blamed')
+  expect(crashSuspects.judge(state, { request: 'r4', parts: ['part a'] }, ALONE, 3)).toBe('run')
+})
+
+function blame (state: crashSuspects.CrashSuspects, part: string): void {
+  crashSuspects.noteCrash(state, { request: 'r1', parts: [part], backend: 'b1', tried: [] }, 0, () => 0)
+  crashSuspects.noteCrash(state, { request: 'r2', parts: [part], backend: 'b2', tried: [part] }, 0, () => 0)
+}
+
+function shareBegunAtOnce (requests: crashSimulation.SimulatedRequest[]): number {
+  expect(requests.length).toBeGreaterThan(20)
+  const begun = requests.filter(({ begunAtMs, attempts }) => begunAtMs !== undefined && attempts === 1)
+  return begun.length / requests.length
+}
+
+/** Linear congruential generator, so that the load is the same in each run. */
+function randomOf (seed: number): () => number {
+  let state = seed
+  return () => {
+    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
+    return state / 2 ** 32
+  }
+}
