Let suspected requests wait only for those of their own service

A request with several suspected features waits for one with fewer, which may clear some of them. One of another service clears nothing, and may itself wait for seconds until its service is back; requests of the first service were held all that time. Found while reading the change.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -27,7 +27,7 @@
 const FIRST_RESPONSE_TIMEOUT_FACTOR = 4
 const MIN_FIRST_RESPONSE_TIMEOUT_MS = 700
 
-/** The same where the rank's host has stopped, whatever the usual time is. */
+/** A request at a rank whose host has stopped is moved after this time, whatever the usual time is. */
 const STOPPED_HOST_TIMEOUT_MS = 700
 
 /** Interval at which a silent attempt is checked again. */
--- a/src/coordination/gateway/suspect-gate.ts
+++ b/src/coordination/gateway/suspect-gate.ts
@@ -19,6 +19,7 @@
 /** A request as far as the gate is concerned. */
 export interface GatedCall {
   id: string
+  service: string
   features: crashSuspects.Features
   /** Aborted when the client disconnects. */
   signal: AbortSignal
@@ -129,8 +130,10 @@
     const offeredAtMs = this.#waiting.get(call)?.offeredAtMs
     if (suspected.length === 0) this.leave(call)
     else this.#waiting.set(call, { suspected: suspected.length, offeredAtMs })
+    // Requests of another service clear nothing for this one, and may wait for long.
+    const sameService = [...this.#waiting].filter(([other]) => other.service === call.service)
     return crashSuspects.judge(this.#state, call.features, {
-      fewestSuspected: Math.min(...[...this.#waiting.values()].map(waiting => waiting.suspected)),
+      fewestSuspected: Math.min(...sameService.map(([, waiting]) => waiting.suspected)),
       offeredForMs: offeredAtMs === undefined ? Infinity : nowMs - offeredAtMs
     }, nowMs)
   }
