--- a/src/state/__tests__/crash-simulation.ts
+++ b/src/state/__tests__/crash-simulation.ts
@@ -9,10 +9,10 @@
   gateways: number
   ranks: number
   requestsPerS: number
-  /** Share of the first class's requests that have the deadly part. */
-  deadlyShare: number
-  deadlyFromMs: number
-  deadlyUntilMs: number
+  /** Share of the first class's requests that have the crashing part. */
+  crashingShare: number
+  crashingFromMs: number
+  crashingUntilMs: number
   /** Times at which a rank crashes for a reason other than a request. */
   killsAtMs: number[]
   durationMs: number
@@ -25,7 +25,7 @@
 export interface SimulatedRequest {
   id: number
   atMs: number
-  isDeadly: boolean
+  isCrashing: boolean
   /** Ids of all parts of the prompt; the last one is the request's own. */
   parts: string[]
   /** When it could have been sent for the first time since the last crash. */
@@ -37,10 +37,10 @@
 
 export interface CrashResult {
   requests: SimulatedRequest[]
-  /** Times at which a deadly request crashed a rank. */
+  /** Times at which a crashing request crashed a rank. */
   crashesAtMs: number[]
-  /** Times at which requests with the deadly part were sent to a rank. */
-  deadlySentAtMs: number[]
+  /** Times at which requests with the crashing part were sent to a rank. */
+  crashingSentAtMs: number[]
   /** Number of times that the group stopped. */
   outages: number
 }
@@ -74,7 +74,7 @@
   const waiting: SimulatedRequest[][] = Array.from({ length: load.gateways }, () => [])
   const running = new Set<Running>()
   const events: { atMs: number, act: () => void }[] = []
-  const result: CrashResult = { requests: [], crashesAtMs: [], deadlySentAtMs: [], outages: 0 }
+  const result: CrashResult = { requests: [], crashesAtMs: [], crashingSentAtMs: [], outages: 0 }
   let [nowMs, openAtMs, incarnation] = [0, 0, 0]
   at(0, arrive)
   at(0, check)
@@ -95,15 +95,15 @@
   function arrive (): void {
     at(nowMs - Math.log(1 - random()) * 1_000 / load.requestsPerS, arrive)
     const kind = Math.floor(random() * CLASSES)
-    const isDeadlyTime = nowMs >= load.deadlyFromMs && nowMs < load.deadlyUntilMs
-    const isDeadly = kind === 0 && random() < load.deadlyShare && isDeadlyTime
+    const isCrashingTime = nowMs >= load.crashingFromMs && nowMs < load.crashingUntilMs
+    const isCrashing = kind === 0 && random() < load.crashingShare && isCrashingTime
     const id = result.requests.length
     const document = `document-${kind}-${Math.floor(random() * DOCUMENTS_PER_CLASS)}`
     const request: SimulatedRequest = {
       id,
       atMs: nowMs,
-      isDeadly,
-      parts: [`class-${kind}`, isDeadly ? 'deadly' : document, `own-${id}`],
+      isCrashing,
+      parts: [`class-${kind}`, isCrashing ? 'crashing' : document, `own-${id}`],
       offeredAtMs: undefined,
       begunAtMs: undefined,
       attempts: 0,
@@ -141,7 +141,7 @@
     const tried = crashSuspects.suspectedFeatures(state, featuresOf(request), nowMs)
     crashSuspects.startTrial(state, tried, nowMs)
     request.attempts += 1
-    if (request.isDeadly) result.deadlySentAtMs.push(nowMs)
+    if (request.isCrashing) result.crashingSentAtMs.push(nowMs)
     const run: Running = { request, gateway, rank: Math.floor(random() * load.ranks), tried, isOver: false }
     running.add(run)
     at(nowMs + FIRST_RESPONSE_MS * (0.5 + random()), () => { begin(run) })
@@ -149,7 +149,7 @@
 
   function begin (run: Running): void {
     if (run.isOver || nowMs < openAtMs) return
-    if (run.request.isDeadly) {
+    if (run.request.isCrashing) {
       result.crashesAtMs.push(nowMs)
       crash(run.rank)
       return
--- a/src/state/__tests__/crash-suspects.spec.ts
+++ b/src/state/__tests__/crash-suspects.spec.ts
@@ -8,7 +8,7 @@
 const CONTACT_MS = 3_000
 /** A crash counts as learned from after this many. */
 const LEARNING_CRASHES = 5
-/** Requests with the deadly part that may still be sent afterwards. */
+/** Requests with the crashing part that may still be sent afterwards. */
 const MAX_SENT_AFTERWARDS = 3
 /** No other request waits. */
 const ALONE: crashSuspects.WaitingState = { fewestSuspected: Infinity, offeredForMs: Infinity }
@@ -18,9 +18,9 @@
   gateways: 8,
   ranks: 12,
   requestsPerS: 40,
-  deadlyShare: 0.05,
-  deadlyFromMs: 4_000,
-  deadlyUntilMs: 60_000,
+  crashingShare: 0.05,
+  crashingFromMs: 4_000,
+  crashingUntilMs: 60_000,
   killsAtMs: [],
   durationMs: 70_000,
   featuresOf: request => ({ request: `request ${request.id}`, parts: request.parts.slice(0, -1) })
@@ -29,7 +29,7 @@
 const simulate = (seed: number, fields: Partial<crashSimulation.CrashLoad> = {}): crashSimulation.CrashResult =>
   crashSimulation.simulateCrashes({ ...DAY, ...fields, random: randomOf(seed) })
 
-// Guards against requests with one deadly part that crash a backend server each, since no two are equal.
+// Guards against requests with one crashing part that crash a backend server each, since no two are equal.
 test('requests with a part that crashes backend servers stop a group twice at most', () => {
   const outages = SEEDS.map(seed => simulate(seed).outages)
   expect(Math.max(...outages)).toBeLessThanOrEqual(2)
@@ -43,24 +43,25 @@
   expect(Math.min(...outages)).toBeGreaterThan(4)
 })
 
-// Guards against requests with a deadly part that are still sent when its crashes are known everywhere.
-test('after five crashes hardly any request with the deadly part is sent', () => {
+// Guards against requests with a crashing part that are still sent when its crashes are known everywhere.
+test('after five crashes hardly any request with the crashing part is sent', () => {
   for (const seed of SEEDS) {
-    const { crashesAtMs, deadlySentAtMs } = simulate(seed, { deadlyShare: 0.5 })
+    const { crashesAtMs, crashingSentAtMs } = simulate(seed, { crashingShare: 0.5 })
     expect(crashesAtMs.length).toBeGreaterThan(1)
     const knownAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? Infinity) + CONTACT_MS
-    expect(deadlySentAtMs.filter(sentAtMs => sentAtMs > knownAtMs).length).toBeLessThanOrEqual(MAX_SENT_AFTERWARDS)
+    expect(crashingSentAtMs.filter(sentAtMs => sentAtMs > knownAtMs).length).toBeLessThanOrEqual(MAX_SENT_AFTERWARDS)
   }
 })
 
 // Guards against blame for the caller, route or class of the requests that crash backend servers.
-test('sound requests that share other parts begin as often as without the deadly ones', () => {
+test('sound requests that share other parts begin as often as without the crashing ones', () => {
   for (const seed of SEEDS) {
     const { requests, crashesAtMs } = simulate(seed)
     const learnedAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? crashesAtMs.at(-1)!) + 2 * CONTACT_MS
-    const sound = requests.filter(request => request.parts[0] === 'class-0' && !request.isDeadly)
-    const during = shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < DAY.deadlyUntilMs - 2_000))
-    const outside = shareBegunAtOnce(sound.filter(({ atMs }) => atMs < DAY.deadlyFromMs))
+    const sound = requests.filter(request => request.parts[0] === 'class-0' && !request.isCrashing)
+    const endMs = DAY.crashingUntilMs - 2_000
+    const during = shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < endMs))
+    const outside = shareBegunAtOnce(sound.filter(({ atMs }) => atMs < DAY.crashingFromMs))
     expect(during).toBeGreaterThan(outside / 2)
   }
 })
@@ -82,7 +83,7 @@
 // Guards against gateways that each try a blamed part again, one after the other.
 test('a part that is tried again after a long time stops the group once', () => {
   for (const seed of SEEDS) {
-    expect(simulate(seed, { deadlyUntilMs: 130_000, durationMs: 130_000 }).outages).toBeLessThanOrEqual(3)
+    expect(simulate(seed, { crashingUntilMs: 130_000, durationMs: 130_000 }).outages).toBeLessThanOrEqual(3)
   }
 })
 
@@ -90,7 +91,7 @@
 test('a backend server that crashes by itself brings blame on no request', () => {
   for (const seed of SEEDS) {
     const killsAtMs = [5_000, 5_000, 5_000, 15_000, 25_000, 25_000]
-    const { requests } = simulate(seed, { deadlyShare: 0, killsAtMs, durationMs: 30_000 })
+    const { requests } = simulate(seed, { crashingShare: 0, killsAtMs, durationMs: 30_000 })
     expect(requests.filter(request => request.wasRefused)).toEqual([])
     const later = requests.filter(({ atMs }) => atMs > 20_000 && atMs < 24_000)
     expect(shareBegunAtOnce(later)).toBeGreaterThan(0.95)
