Begin a new count window when popularity changes

Cause: popularity of experts changes completely within one pass, every 3 to 4 s (mean cosine of the counts before and after 0.1 to 0.6, within a period 0.97 and more). The counts of the last 1,200 ms then mix both, and the first plan after a change fits neither: skew 1.3 planned, 1.9 found 0.7 s later. Change: each agent compares consecutive samples of its rank's counts, now 100 ms apart, and drops those from before a change; the lead collects 120 ms after it.

--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -127,6 +127,7 @@
       isCurrentTerm: term => this.#election.isCurrentTerm(term),
       ownTerm: () => this.#election.term,
       onPrepare: () => { this.#watch.expectChange() },
+      onPopularityChange: () => { this.#lead.notePopularityChange() },
       signal
     })
     this.#lead = new mapLead.MapLead({
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -34,6 +34,8 @@
 
 /** Minimum time between two collections of counts; a shorter one yields too few new counts. */
 const PLAN_INTERVAL_MS = 400
+/** Time after a change of popularity in which all ranks have run a pass and sampled its counts. */
+const CHANGE_SETTLING_MS = 120
 const MAX_NEW_COPIES_PER_RANK = 4
 const MIN_GAIN_PER_COPY = 0.02
 const DIRECT_READ_INTERVAL_MS = 200
@@ -95,6 +97,12 @@
     if (known === undefined || known.readAtMs <= state.readAtMs) this.#ranks.set(state.rank, state)
   }
 
+  /** Called when the requests of this agent's own rank have begun to choose other experts. */
+  notePopularityChange (): void {
+    this.#collectedAtMs = this.#options.runtime.nowMs() - PLAN_INTERVAL_MS + CHANGE_SETTLING_MS
+    this.#collectedCounts = undefined
+  }
+
   /** Called periodically and after each update of a rank while this agent leads. */
   advance (own: rankControl.RankGroup): void {
     const { runtime: { nowMs, log, metrics } } = this.#options
--- a/src/coordination/ranks/rank-executor.ts
+++ b/src/coordination/ranks/rank-executor.ts
@@ -27,13 +27,21 @@
   ownTerm: () => number | undefined
   /** Called when the rank was ordered to prepare a map. */
   onPrepare: () => void
+  /** Called when the rank's requests have begun to choose other experts. */
+  onPopularityChange: () => void
   signal: AbortSignal
 }
 
 /** Maximum number of maps kept: the one in use and later ones that were prepared but abandoned. */
 const MAX_KEPT_MAPS = 6
-/** Interval at which the rank's counts are read while a lead plans, so that it can request any recent window. */
-const COUNTS_INTERVAL_MS = 250
+/**
+ * Interval at which the rank's counts are read while a lead plans, so that it can request any recent window and that a
+ * change of popularity is noticed within about a pass.
+ */
+const COUNTS_INTERVAL_MS = 100
+/** The counts of more experts take an agent longer to read, so they are read at every third interval. */
+const MANY_COUNTS = 512
+const MANY_COUNTS_INTERVALS = 3
 /** Counts are read for this long after a request of a lead; a lead that plans sends one about every second. */
 const COUNTS_REQUEST_MS = 5_000
 /** Less than the lead waits for the sum, so that one silent agent does not lose the counts of all. */
@@ -45,6 +53,7 @@
   readonly #counts = countWindow.createWindow()
   /** The last request of a lead for counts, and when reading them stops. */
   #countsRequest: { sets: number, untilMs: number } | undefined
+  #intervals = 0
 
   constructor (options: RankExecutorOptions) {
     this.#options = options
@@ -101,7 +110,8 @@
     this.#countsRequest = { sets: call.sets, untilMs: nowMs() + COUNTS_REQUEST_MS }
     const counts = await rank.counts(call.sets, signal)
     if (counts === undefined) return { kind: 'counts', counts }
-    return { kind: 'counts', counts: countWindow.countsSince(this.#counts, counts, call.windowMs, nowMs(), random) }
+    this.#noteCounts(counts)
+    return { kind: 'counts', counts: countWindow.countsWithin(this.#counts, call.windowMs, nowMs(), random) }
   }
 
   async #sumCounts (call: rankCall.RankCall & { kind: 'sum_counts' }): Promise<rankCall.RankCallAnswer> {
@@ -117,10 +127,19 @@
   }
 
   async #readCounts (): Promise<void> {
-    const { rank, runtime: { nowMs }, signal } = this.#options
-    if (this.#countsRequest === undefined || nowMs() > this.#countsRequest.untilMs) return
+    const { engine, rank, runtime: { nowMs }, signal } = this.#options
+    const model = engine()
+    this.#intervals += 1
+    if (this.#countsRequest === undefined || nowMs() > this.#countsRequest.untilMs || model === undefined) return
+    const hasMany = model.expertSets * model.expertsPerSet > MANY_COUNTS
+    if (hasMany && this.#intervals % MANY_COUNTS_INTERVALS !== 0) return
     const counts = await rank.counts(this.#countsRequest.sets, signal)
-    if (counts !== undefined) countWindow.addSample(this.#counts, counts, nowMs())
+    if (counts !== undefined) this.#noteCounts(counts)
+  }
+
+  #noteCounts (counts: rankControl.ExpertCounts): void {
+    const { runtime: { nowMs }, onPopularityChange } = this.#options
+    if (countWindow.addSample(this.#counts, counts, nowMs())) onPopularityChange()
   }
 
   /** @returns the order with the whole map; undefined when the base map is unknown or the digest differs. */
--- a/src/state/__tests__/count-window.spec.ts
+++ b/src/state/__tests__/count-window.spec.ts
@@ -6,6 +6,7 @@
 const { expect, test } = vitest
 
 const WINDOW_MS = 1_200
+const SAMPLE_MS = 100
 
 function seededRandom (): () => number {
   const generator = prand.xoroshiro128plus(5)
@@ -15,8 +16,10 @@
 // Guards against plans that follow choices from before the window or from another epoch.
 test('only choices within the window and epoch are counted', () => {
   const window = countWindow.createWindow()
-  const read = (atMs: number, counts: number[][], epoch = 1): countWindow.PackedCounts | undefined =>
-    countWindow.countsSince(window, { epoch, step: atMs, counts }, WINDOW_MS, atMs, () => 0.5)
+  const read = (atMs: number, counts: number[][], epoch = 1): countWindow.PackedCounts | undefined => {
+    countWindow.addSample(window, { epoch, step: atMs, counts }, atMs)
+    return countWindow.countsWithin(window, WINDOW_MS, atMs, () => 0.5)
+  }
   expect(read(0, [[1_000, 0], [5, 5]])).toBeUndefined()
   expect(countWindow.sumCounts([read(600, [[1_000, 10], [5, 15]])!], 1, 2, 2)).toEqual([[0, 10], [0, 10]])
   expect(countWindow.sumCounts([read(1_500, [[1_000, 30], [5, 15]])!], 1, 2, 2)).toEqual([[0, 20], [0, 0]])
@@ -29,7 +32,8 @@
   const window = countWindow.createWindow()
   countWindow.addSample(window, { epoch: 1, step: 900, counts: [[50]] }, 0)
   const counts = { epoch: 1, step: 3, counts: [[7]] }
-  expect(countWindow.countsSince(window, counts, WINDOW_MS, 100, () => 0.5)).toBeUndefined()
+  countWindow.addSample(window, counts, 100)
+  expect(countWindow.countsWithin(window, WINDOW_MS, 100, () => 0.5)).toBeUndefined()
 })
 
 // Guards against adding up counts that belong to different epochs or numbers of experts.
@@ -50,7 +54,8 @@
     const window = countWindow.createWindow()
     countWindow.addSample(window, { epoch: 1, step: 1, counts: [[0, 0, 0, ...rest]] }, 0)
     const counts = { epoch: 1, step: 2, counts: [[150, 40, 3, ...rest]] }
-    return countWindow.countsSince(window, counts, WINDOW_MS, 1, random)!
+    countWindow.addSample(window, counts, 1)
+    return countWindow.countsWithin(window, WINDOW_MS, 1, random)!
   })
   const [often, sometimes, rarely] = countWindow.sumCounts(packed, 1, 1, 2_000)![0] as [number, number, number]
   expect(often).toBe(63 * 150)
@@ -64,6 +69,35 @@
   const counts = (times: number): number[][] => Array.from({ length: 8 }, () =>
     Array.from({ length: 252 }, (_, expert) => times * (900 + expert)))
   countWindow.addSample(window, { epoch: 1, step: 1, counts: counts(1) }, 0)
-  const packed = countWindow.countsSince(window, { epoch: 1, step: 2, counts: counts(2) }, WINDOW_MS, 1, () => 0.5)
+  countWindow.addSample(window, { epoch: 1, step: 2, counts: counts(2) }, 1)
+  const packed = countWindow.countsWithin(window, WINDOW_MS, 1, () => 0.5)
   expect(63 * JSON.stringify(packed).length).toBeLessThan(16 * JSON.stringify(counts(20)).length * 0.6)
 })
+
+// Load pattern: popularity changes completely within one pass, and the counts of the second before it are outdated.
+test('a change of popularity begins a new window', () => {
+  const window = countWindow.createWindow()
+  const totals = [0, 0, 0, 0]
+  const changedAtMs: number[] = []
+  for (let atMs = 0; atMs <= 2_400; atMs += SAMPLE_MS) {
+    const chosen = atMs <= 1_250 ? [90, 10, 0, 0] : [0, 5, 60, 35]
+    chosen.forEach((count, expert) => { totals[expert]! += count })
+    if (countWindow.addSample(window, { epoch: 1, step: atMs, counts: [[...totals]] }, atMs)) changedAtMs.push(atMs)
+    const [sum] = countWindow.sumCounts([countWindow.countsWithin(window, WINDOW_MS, atMs, () => 0.5)]
+      .filter(packed => packed !== undefined), 1, 1, 4) ?? []
+    // From the second sample after the change on, nothing is counted that was chosen before it.
+    if (atMs > 1_250 + 2 * SAMPLE_MS) expect(sum?.[0]).toBe(0)
+  }
+  expect(changedAtMs).toEqual([1_300])
+})
+
+// Guards against dropping the window, and with it most counts, for the differences between a rank's requests.
+test('requests that differ a little do not begin a new window', () => {
+  const random = seededRandom()
+  const window = countWindow.createWindow()
+  const totals = new Array<number>(64).fill(0)
+  for (let atMs = 0; atMs <= 6_000; atMs += SAMPLE_MS) {
+    totals.forEach((_, expert) => { totals[expert]! += Math.round(1_000 / (expert + 1) * (0.5 + random())) })
+    expect(countWindow.addSample(window, { epoch: 1, step: atMs, counts: [[...totals]] }, atMs)).toBe(false)
+  }
+})
--- a/src/state/count-window.ts
+++ b/src/state/count-window.ts
@@ -7,6 +7,7 @@
  * complete counts of 16 took.
  */
 
+import * as popularityChange from './popularity-change.js'
 import type * as rankControl from '../protocol/rank-control.js'
 
 export interface CountWindow {
@@ -38,24 +39,52 @@
 
 /** Samples are kept for the longest window that a lead asks for. */
 const SAMPLE_RETENTION_MS = 1_500
+/** Minimum time between samples whose choices are compared; a shorter one may contain no pass. */
+const MIN_COMPARED_MS = 80
 
 /**
- * Adds a sample and returns its difference to the oldest one in the window.
+ * Adds a sample. Earlier ones of another epoch, from before a restart or before a change of popularity are dropped.
  *
- * @returns undefined without an earlier sample of this epoch in the window.
+ * @returns whether popularity has changed.
  */
-export function countsSince (
-  window: CountWindow, counts: rankControl.ExpertCounts, windowMs: number, nowMs: number, random: () => number
-): PackedCounts | undefined {
-  const oldest = window.samples.find(sample => nowMs - sample.atMs <= windowMs && isSameRun(sample.counts, counts))
-  addSample(window, counts, nowMs)
-  return oldest === undefined ? undefined : pack(counts, oldest.counts, random)
-}
-
-export function addSample (window: CountWindow, counts: rankControl.ExpertCounts, nowMs: number): void {
+export function addSample (window: CountWindow, counts: rankControl.ExpertCounts, nowMs: number): boolean {
   window.samples = window.samples.filter(sample =>
     nowMs - sample.atMs <= SAMPLE_RETENTION_MS && isSameRun(sample.counts, counts))
+  const isChanged = isChangedSince(window.samples, counts, nowMs)
+  if (isChanged) window.samples = []
   window.samples.push({ atMs: nowMs, counts })
+  return isChanged
+}
+
+/**
+ * How often each expert was chosen within the window, up to the newest sample. The window begins at the last change of
+ * popularity at the latest.
+ *
+ * @returns undefined without an earlier sample in the window.
+ */
+export function countsWithin (
+  window: CountWindow, windowMs: number, nowMs: number, random: () => number
+): PackedCounts | undefined {
+  const newest = window.samples.at(-1)
+  const oldest = window.samples.find(sample => nowMs - sample.atMs <= windowMs)
+  if (newest === undefined || oldest === undefined || oldest === newest) return undefined
+  return pack(newest.counts, oldest.counts, random)
+}
+
+function isChangedSince (
+  samples: CountWindow['samples'], counts: rankControl.ExpertCounts, nowMs: number
+): boolean {
+  const middle = samples.findLast(sample => nowMs - sample.atMs >= MIN_COMPARED_MS)
+  const first = middle && samples.findLast(sample => middle.atMs - sample.atMs >= MIN_COMPARED_MS)
+  if (first === undefined) return false
+  return popularityChange.isChanged(
+    differences(middle!.counts, first.counts), differences(counts, middle!.counts))
+}
+
+/** How often each expert was chosen between two samples, by set. */
+function differences (now: rankControl.ExpertCounts, before: rankControl.ExpertCounts): number[][] {
+  return now.counts.map((set, index) =>
+    set.map((count, expert) => Math.max(0, count - (before.counts[index]?.[expert] ?? 0))))
 }
 
 /** Whether the rank has not restarted between two samples; a restarted rank counts from zero. */
@@ -66,12 +95,11 @@
 function pack (
   now: rankControl.ExpertCounts, before: rankControl.ExpertCounts, random: () => number
 ): PackedCounts {
-  const differences = now.counts.flatMap((set, index) =>
-    set.map((count, expert) => Math.max(0, count - (before.counts[index]?.[expert] ?? 0))))
-  const isByteEncoded = differences.length <= MAX_BYTE_ENCODED_COUNTS
+  const chosen = differences(now, before).flat()
+  const isByteEncoded = chosen.length <= MAX_BYTE_ENCODED_COUNTS
   const maxStep = isByteEncoded ? MAX_BYTE_STEP : MAX_HALF_BYTE_STEP
-  const scale = Math.max(1, ...differences) / maxStep
-  const steps = differences.map(count => Math.min(maxStep, Math.floor(count / scale + random())))
+  const scale = Math.max(1, ...chosen) / maxStep
+  const steps = chosen.map(count => Math.min(maxStep, Math.floor(count / scale + random())))
   const bytes = isByteEncoded ? Buffer.from(steps) : packHalfBytes(steps)
   return { epoch: now.epoch, experts: now.counts[0]?.length ?? 0, scale, steps: bytes.toString('base64') }
 }
