Copy an expert only for a gain of 0.06 of its set's skew

Cause: passes take 15 in 100 longer while experts are copied, and plans for gains of 0.02 kept copies under way nearly all the time.

--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -37,7 +37,7 @@
 /** Time after a change of popularity in which all ranks have run a pass and sampled its counts. */
 const CHANGE_SETTLING_MS = 120
 const MAX_NEW_COPIES_PER_RANK = 4
-const MIN_GAIN_PER_COPY = 0.02
+const MIN_GAIN_PER_COPY = 0.06
 const DIRECT_READ_INTERVAL_MS = 200
 /** Time in addition to two repeats of a rank's state after which the rank is read directly. */
 const SILENT_RANK_MARGIN_MS = 200
