Bound the copies of a plan by the time they take, read ranks often during orders

Cause: after a change of popularity a group ran 1.3 to 1.5 s on outdated maps: four copies a rank take 600 ms, a rank's readiness is noticed up to 100 ms late at each of three steps. Passes take 100 to 140 ms meanwhile, and most streams meet one such span. Change: copies a rank by the size of experts and the link, 200 ms in all; ranks are read every 25 ms (3 ms for each rank) while they carry out an order, and the lead goes on as soon as a rank's state arrives.

--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -87,6 +87,7 @@
       runtime: env,
       rank: this.#rank,
       onReport: reading => { this.#noteReading(reading) },
+      onExtraReport: reading => { this.#noteState(reading) },
       isLeading: () => this.#election.term !== undefined,
       signal
     })
@@ -126,7 +127,7 @@
       engine: () => this.#engine(),
       isCurrentTerm: term => this.#election.isCurrentTerm(term),
       ownTerm: () => this.#election.term,
-      onPrepare: () => { this.#watch.expectChange() },
+      onOrder: () => { this.#watch.expectChange() },
       onPopularityChange: () => { this.#lead.notePopularityChange() },
       signal
     })
@@ -202,6 +203,7 @@
     else if (message.kind === 'lead') this.#election.noteLead(message.group, message.term, message.address)
     else if (message.kind === 'rank' && message.group === this.#watch.group?.name) {
       this.#lead.noteRank({ ...message.state, readAtMs: this.#env.nowMs() - message.ageMs })
+      if (this.#lead.isWaitingForRanks) this.#advanceLead()
     }
   }
 
@@ -223,9 +225,16 @@
       step: report.step,
       ageMs
     })
+    this.#noteState(reading)
+  }
+
+  /** Tells the lead the state of the rank when it has changed or is due to be repeated. */
+  #noteState (reading: rankWatch.RankReading): void {
+    const { report, readAtMs } = reading
     const state = rankWatch.rankStateOf(reading)
     if (state === undefined) return
     this.#lead.noteRank(state)
+    if (this.#election.term !== undefined) this.#advanceLead()
     const { leadAddress } = this.#election
     if (leadAddress === undefined || this.#election.term !== undefined) return
     const sent = this.#sentState?.leadAddress === leadAddress ? this.#sentState : undefined
@@ -233,6 +242,7 @@
       readAtMs - sent.atMs >= rankState.stateRepeatMs(report.group!.size) - STATE_TIMER_TOLERANCE_MS
     if (!isDue) return
     this.#sentState = { state, leadAddress, atMs: readAtMs }
+    const ageMs = Math.round(this.#env.nowMs() - readAtMs)
     this.#peers.sendTo(leadAddress, { kind: 'rank', group: report.group!.name, state, ageMs })
   }
 
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -36,8 +36,6 @@
 const PLAN_INTERVAL_MS = 400
 /** Time after a change of popularity in which all ranks have run a pass and sampled its counts. */
 const CHANGE_SETTLING_MS = 120
-const MAX_NEW_COPIES_PER_RANK = 4
-const MIN_GAIN_PER_COPY = 0.06
 const DIRECT_READ_INTERVAL_MS = 200
 /** Time in addition to two repeats of a rank's state after which the rank is read directly. */
 const SILENT_RANK_MARGIN_MS = 200
@@ -92,6 +90,12 @@
     return kind === 'holding' || kind === 'arming' || kind === 'releasing'
   }
 
+  /** Whether the state of another rank may let the switch go on at once. */
+  get isWaitingForRanks (): boolean {
+    const kind = this.#state?.phase.kind
+    return kind !== undefined && kind !== 'idle' && kind !== 'recovering'
+  }
+
   noteRank (state: rankSwitch.RankState): void {
     const known = this.#ranks.get(state.rank)
     if (known === undefined || known.readAtMs <= state.readAtMs) this.#ranks.set(state.rank, state)
@@ -221,9 +225,9 @@
       ranks: own.size,
       placesPerRank: model.placesPerRank,
       maxNewPerRankAndSet: model.spareCopies,
-      maxNewPerRank: MAX_NEW_COPIES_PER_RANK,
+      maxNewPerRank: expertRebalance.maxNewCopies(model.expertMegabytes, model.linkMegabitsPerSecond),
       slowdowns: Array.from({ length: own.size }, (_, rank) => Math.max(1, this.#ranks.get(rank)?.slowdown ?? 1)),
-      minGainPerCopy: MIN_GAIN_PER_COPY
+      minGainPerCopy: expertRebalance.MIN_GAIN_PER_COPY
     })
     if (plan.copies === 0) return
     const version = rankSwitch.propose(state, plan.map, nowMs())
--- a/src/coordination/ranks/rank-executor.ts
+++ b/src/coordination/ranks/rank-executor.ts
@@ -25,8 +25,8 @@
   isCurrentTerm: (term: number) => boolean
   /** Term of this agent's own lead; undefined while another agent leads. */
   ownTerm: () => number | undefined
-  /** Called when the rank was ordered to prepare a map. */
-  onPrepare: () => void
+  /** Called when the rank was ordered to prepare a map or to switch to it. */
+  onOrder: () => void
   /** Called when the rank's requests have begun to choose other experts. */
   onPopularityChange: () => void
   signal: AbortSignal
@@ -90,8 +90,8 @@
     if (order === undefined) return { kind: 'map_unknown' }
     if (order.kind === 'prepare') {
       this.#keepMap(call.epoch, order)
-      this.#options.onPrepare()
     }
+    if (order.kind === 'prepare' || order.kind === 'arm') this.#options.onOrder()
     const outcome = await rank.order(order, call.epoch, call.term, signal)
     return { kind: 'ordered', outcome, ...await this.#readState() }
   }
--- a/src/coordination/ranks/rank-watch.ts
+++ b/src/coordination/ranks/rank-watch.ts
@@ -10,6 +10,8 @@
   runtime: runtime.Runtime
   rank: rankControl.RankControl
   onReport: (reading: RankReading) => void
+  /** Called for a reading beside the regular ones, while the rank carries out an order. */
+  onExtraReport: (reading: RankReading) => void
   /** Whether this agent leads the group; a lead measures the passes at its own rank. */
   isLeading: () => boolean
   signal: AbortSignal
@@ -29,6 +31,12 @@
 const LARGE_GROUP = 64
 /** Time in which a rank that was ordered to prepare a map is usually ready. */
 const EXPECTED_CHANGE_MS = 600
+/**
+ * Interval at which a rank is read while it carries out an order, for each rank of the group. Load pattern: after a
+ * change of popularity each pass is slow until the next map is in force, and a switch waits for the last rank.
+ */
+const EXPECTED_CHANGE_READ_PER_RANK_MS = 3
+const MIN_EXPECTED_CHANGE_READ_MS = 25
 
 export class RankWatch {
   /** Undefined while the rank does not answer. */
@@ -37,11 +45,15 @@
   #isReading = false
   #ticks = 0
   #changeExpectedUntilMs = -Infinity
+  #extraReads: NodeJS.Timeout | undefined
 
   constructor (options: RankWatchOptions) {
     this.#options = options
     const timer = setInterval(() => { this.#tick() }, READ_INTERVAL_MS)
-    options.signal.addEventListener('abort', () => { clearInterval(timer) }, { once: true })
+    options.signal.addEventListener('abort', () => {
+      clearInterval(timer)
+      clearInterval(this.#extraReads)
+    }, { once: true })
   }
 
   /** The rank's group; undefined while the rank does not answer or is in no group. */
@@ -52,6 +64,24 @@
   /** Reads the rank more often for a while, since its state will change. */
   expectChange (): void {
     this.#changeExpectedUntilMs = this.#options.runtime.nowMs() + EXPECTED_CHANGE_MS
+    const intervalMs = Math.max(MIN_EXPECTED_CHANGE_READ_MS, (this.group?.size ?? 0) * EXPECTED_CHANGE_READ_PER_RANK_MS)
+    if (this.#extraReads !== undefined || intervalMs >= READ_INTERVAL_MS) return
+    this.#extraReads = setInterval(() => { this.#readExtra() }, intervalMs)
+  }
+
+  async #readExtra (): Promise<void> {
+    const { rank, runtime: { nowMs }, signal, onExtraReport } = this.#options
+    if (nowMs() > this.#changeExpectedUntilMs) {
+      clearInterval(this.#extraReads)
+      this.#extraReads = undefined
+      return
+    }
+    if (this.#isReading) return
+    this.#isReading = true
+    const readAtMs = nowMs()
+    const report = await rank.report(signal)
+    this.#isReading = false
+    if (report !== undefined) onExtraReport({ report, readAtMs })
   }
 
   #tick (): void {
--- a/src/state/expert-rebalance.ts
+++ b/src/state/expert-rebalance.ts
@@ -33,6 +33,26 @@
   skewAfter: number
 }
 
+/** Copies that gain less slow the passes down for longer than they pay back before popularity changes again. */
+export const MIN_GAIN_PER_COPY = 0.06
+/** Time in which the copies of one plan are made; passes are slow until then, and take longer meanwhile. */
+const COPY_BUDGET_MS = 200
+/** With more copies, a plan takes the lead longer than it gains. */
+const MAX_NEW_COPIES = 4
+const BITS_PER_BYTE = 8
+
+/**
+ * Number of experts that a plan may copy to one rank.
+ *
+ * Load pattern: popularity changes every 3 to 4 s, and an expert takes 150 ms to copy. The first copy at each rank
+ * takes most of the skew away; with four, the group runs on the outdated map for 450 ms longer. The next plan does the
+ * rest.
+ */
+export function maxNewCopies (expertMegabytes: number, linkMegabitsPerSecond: number): number {
+  const copyMs = expertMegabytes * BITS_PER_BYTE * 1_000 / linkMegabitsPerSecond
+  return Math.max(1, Math.min(MAX_NEW_COPIES, Math.floor(COPY_BUDGET_MS / copyMs)))
+}
+
 /** Exponent of the smooth maximum: high enough for the most loaded ranks to dominate it. */
 const SMOOTHING_EXPONENT = 10
 
