--- a/bench/main.ts
+++ b/bench/main.ts
@@ -20,6 +20,7 @@
 import * as pathLatency from './path-latency.js'
 import * as quarantine from './quarantine.js'
 import * as restart from './restart.js'
+import * as roleProfile from './role-profile.js'
 import * as routing from './routing.js'
 import * as routingReal from './routing-real.js'
 
@@ -29,7 +30,8 @@
   expertPlanner.expertPlannerExperiment, expertPlanner.expertPlanTime, ...expertReachable.reachableExperiments,
   expertGroup.expertGroup,
   ...routing.routingExperiments, routingReal.routingReal, admission.admissionExperiment, limits.limitsExperiment,
-  ejection.ejectionExperiment, quarantine.quarantineExperiment, restart.restartExperiment
+  ejection.ejectionExperiment, quarantine.quarantineExperiment, restart.restartExperiment,
+  roleProfile.roleProfile
 ]
 
 const DEFAULT_SEEDS = '5'
--- a/playground/process-runner.ts
+++ b/playground/process-runner.ts
@@ -32,13 +32,16 @@
  * Starts a program and waits until it is ready.
  * @param program path relative to the build output, such as `src/bin/bulrush-entry.js`.
  * @param sourceAddress loopback address that the process connects from; if empty, the system chooses it.
+ * @param nodeFlags flags of the runtime, before the program.
  * @throws if the program ends or is not ready in time, with the end of its error output.
  */
 export async function startProcess (
-  name: string, program: string, args: string[], sourceAddress = ''
+  name: string, program: string, args: string[], sourceAddress = '', nodeFlags: readonly string[] = []
 ): Promise<RunningProcess> {
   const flags = sourceAddress === '' ? [] : ['--import', url.pathToFileURL(path.join(PROGRAM_ROOT, SOURCE_MODULE)).href]
-  const child = childProcess.spawn(process.execPath, [...flags, path.join(PROGRAM_ROOT, program), ...args], {
+  const child = childProcess.spawn(process.execPath, [
+    ...nodeFlags, ...flags, path.join(PROGRAM_ROOT, program), ...args
+  ], {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { PATH: process.env['PATH'], SOURCE_ADDRESS: sourceAddress }
   })
