--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -202,8 +202,7 @@
     if (message.kind === 'status') this.#documents.noteStatus(message.status)
     else if (message.kind === 'lead') this.#election.noteLead(message.group, message.term, message.address)
     else if (message.kind === 'rank' && message.group === this.#watch.group?.name) {
-      this.#lead.noteRank({ ...message.state, readAtMs: this.#env.nowMs() - message.ageMs })
-      if (this.#lead.isWaitingForRanks) this.#advanceLead()
+      this.#noteRank({ ...message.state, readAtMs: this.#env.nowMs() - message.ageMs })
     }
   }
 
@@ -228,13 +227,18 @@
     this.#noteState(reading)
   }
 
+  #noteRank (state: rankState.RankState): void {
+    const { group } = this.#watch
+    if (group === undefined || this.#ledTerm === undefined) this.#lead.noteRank(state)
+    else this.#lead.noteRankDuringSwitch(state, group)
+  }
+
   /** Tells the lead the state of the rank when it has changed or is due to be repeated. */
   #noteState (reading: rankWatch.RankReading): void {
     const { report, readAtMs } = reading
     const state = rankWatch.rankStateOf(reading)
     if (state === undefined) return
-    this.#lead.noteRank(state)
-    if (this.#election.term !== undefined) this.#advanceLead()
+    this.#noteRank(state)
     const { leadAddress } = this.#election
     if (leadAddress === undefined || this.#election.term !== undefined) return
     const sent = this.#sentState?.leadAddress === leadAddress ? this.#sentState : undefined
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -90,10 +90,11 @@
     return kind === 'holding' || kind === 'arming' || kind === 'releasing'
   }
 
-  /** Whether the state of another rank may let the switch go on at once. */
-  get isWaitingForRanks (): boolean {
+  /** Records the state of a rank, which may let a switch in progress go on at once. */
+  noteRankDuringSwitch (state: rankSwitch.RankState, own: rankControl.RankGroup): void {
+    this.noteRank(state)
     const kind = this.#state?.phase.kind
-    return kind !== undefined && kind !== 'idle' && kind !== 'recovering'
+    if (kind !== undefined && kind !== 'idle' && kind !== 'recovering') this.#advanceSoon(own)
   }
 
   noteRank (state: rankSwitch.RankState): void {
