Read counts as soon as a group is open, collect them until there are some

Cause: after a power loss the groups open on the initial map, with a skew of 3, and the first plan came 0.5 s later: agents sampled their counts only after the first request of a lead, whose next one followed 400 ms after it.

--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -34,7 +34,7 @@
 
 /** Minimum time between two collections of counts; a shorter one yields too few new counts. */
 const PLAN_INTERVAL_MS = 400
-/** Time after a change of popularity in which all ranks have run a pass and sampled its counts. */
+/** Time after a change of popularity or the opening of a group in which its ranks run and count a pass. */
 const CHANGE_SETTLING_MS = 120
 const DIRECT_READ_INTERVAL_MS = 200
 /** Time in addition to two repeats of a rank's state after which the rank is read directly. */
@@ -104,8 +104,12 @@
 
   /** Called when the requests of this agent's own rank have begun to choose other experts. */
   notePopularityChange (): void {
-    this.#collectedAtMs = this.#options.runtime.nowMs() - PLAN_INTERVAL_MS + CHANGE_SETTLING_MS
     this.#collectedCounts = undefined
+    this.#collectSoon()
+  }
+
+  #collectSoon (): void {
+    this.#collectedAtMs = this.#options.runtime.nowMs() - PLAN_INTERVAL_MS + CHANGE_SETTLING_MS
   }
 
   /** Called periodically and after each update of a rank while this agent leads. */
@@ -209,6 +213,8 @@
     this.#collectedAtMs = nowMs()
     this.#collector.collect(own, model).then(counts => {
       this.#collectedCounts = counts === undefined ? undefined : { counts, epoch: own.epoch }
+      // A group that has just opened has run no pass yet, and its initial map is the most uneven one.
+      if (counts === undefined) this.#collectSoon()
       this.advance(own)
     }).finally(() => { this.#isCollecting = false })
   }
--- a/src/coordination/ranks/rank-executor.ts
+++ b/src/coordination/ranks/rank-executor.ts
@@ -35,15 +35,13 @@
 /** Maximum number of maps kept: the one in use and later ones that were prepared but abandoned. */
 const MAX_KEPT_MAPS = 6
 /**
- * Interval at which the rank's counts are read while a lead plans, so that it can request any recent window and that a
- * change of popularity is noticed within about a pass.
+ * Interval at which the rank's counts are read while its group is open, so that a lead can request any recent window
+ * and a change of popularity is noticed within about a pass.
  */
 const COUNTS_INTERVAL_MS = 100
 /** The counts of more experts take an agent longer to read, so they are read at every third interval. */
 const MANY_COUNTS = 512
 const MANY_COUNTS_INTERVALS = 3
-/** Counts are read for this long after a request of a lead; a lead that plans sends one about every second. */
-const COUNTS_REQUEST_MS = 5_000
 /** Less than the lead waits for the sum, so that one silent agent does not lose the counts of all. */
 const COUNTS_TIMEOUT_MS = 400
 
@@ -51,8 +49,6 @@
   readonly #options: RankExecutorOptions
   readonly #maps: { epoch: number, version: number, map: rankControl.ExpertMap }[] = []
   readonly #counts = countWindow.createWindow()
-  /** The last request of a lead for counts, and when reading them stops. */
-  #countsRequest: { sets: number, untilMs: number } | undefined
   #intervals = 0
 
   constructor (options: RankExecutorOptions) {
@@ -107,7 +103,6 @@
 
   async #readWindow (call: rankCall.RankCall & { kind: 'counts' }): Promise<rankCall.RankCallAnswer> {
     const { rank, runtime: { nowMs, random }, signal } = this.#options
-    this.#countsRequest = { sets: call.sets, untilMs: nowMs() + COUNTS_REQUEST_MS }
     const counts = await rank.counts(call.sets, signal)
     if (counts === undefined) return { kind: 'counts', counts }
     this.#noteCounts(counts)
@@ -127,13 +122,13 @@
   }
 
   async #readCounts (): Promise<void> {
-    const { engine, rank, runtime: { nowMs }, signal } = this.#options
+    const { engine, group, rank, signal } = this.#options
     const model = engine()
     this.#intervals += 1
-    if (this.#countsRequest === undefined || nowMs() > this.#countsRequest.untilMs || model === undefined) return
+    if (model === undefined || model.expertSets === 0 || group()?.isOpen !== true) return
     const hasMany = model.expertSets * model.expertsPerSet > MANY_COUNTS
     if (hasMany && this.#intervals % MANY_COUNTS_INTERVALS !== 0) return
-    const counts = await rank.counts(this.#countsRequest.sets, signal)
+    const counts = await rank.counts(model.expertSets, signal)
     if (counts !== undefined) this.#noteCounts(counts)
   }
 
