--- a/src/coordination/ranks/__tests__/rank-watch.spec.ts
+++ b/src/coordination/ranks/__tests__/rank-watch.spec.ts
@@ -58,7 +58,7 @@
   expect(extra).toBe(extraBefore)
 })
 
-// Load pattern: reading the 64 ranks of two groups ten times a second takes a quarter of all processor time.
+// Load pattern: reading many ranks ten times a second and sending each load takes much of all processor time.
 test('the ranks of a large group are read five times a second', async () => {
   watchGroupOf(32)
   await vitest.vi.advanceTimersByTimeAsync(10_000)
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -32,7 +32,7 @@
   signal: AbortSignal
 }
 
-/** Minimum time between two collections of counts; a shorter one yields too few new counts. */
+/** Time between two collections of counts while popularity stays the same. */
 const PLAN_INTERVAL_MS = 400
 /** Time after a change of popularity or the opening of a group in which its ranks run and count a pass. */
 const CHANGE_SETTLING_MS = 120
--- a/src/coordination/ranks/rank-executor.ts
+++ b/src/coordination/ranks/rank-executor.ts
@@ -49,6 +49,7 @@
   readonly #options: RankExecutorOptions
   readonly #maps: { epoch: number, version: number, map: rankControl.ExpertMap }[] = []
   readonly #counts = countWindow.createWindow()
+  /** Number of intervals at which counts were due. */
   #intervals = 0
 
   constructor (options: RankExecutorOptions) {
@@ -84,9 +85,7 @@
     if (!isCurrentTerm(call.term)) return { kind: 'rejected', reason: 'another agent leads' }
     const order = call.order.kind === 'prepare_changes' ? this.#expandOrder(call.epoch, call.order) : call.order
     if (order === undefined) return { kind: 'map_unknown' }
-    if (order.kind === 'prepare') {
-      this.#keepMap(call.epoch, order)
-    }
+    if (order.kind === 'prepare') this.#keepMap(call.epoch, order)
     if (order.kind === 'prepare' || order.kind === 'arm') this.#options.onOrder()
     const outcome = await rank.order(order, call.epoch, call.term, signal)
     return { kind: 'ordered', outcome, ...await this.#readState() }
--- a/src/coordination/ranks/rank-watch.ts
+++ b/src/coordination/ranks/rank-watch.ts
@@ -25,7 +25,7 @@
 /** About the duration of a pass. Entries choose backend servers by these reports. */
 const READ_INTERVAL_MS = 100
 /**
- * In a larger group the rank is read only at every second tick, unless a change is expected. Load pattern: reading 64
+ * In a larger group the rank is read only at every second tick, unless a change is expected. Load pattern: reading 129
  * ranks ten times a second and sending each load to the entries takes a quarter of all processor time.
  */
 const LARGE_GROUP = 24
