Log retries that the budget grants, with its use, limit and divisor

Change: event 2214 repeatGranted; 2204 repeatDenied has the same fields: requests, repeats and limit of the window, and the number of gateways.

--- a/src/coordination/gateway/retries.ts
+++ b/src/coordination/gateway/retries.ts
@@ -16,9 +16,19 @@
 
 /** Takes a retry from the service's budget. @returns false when the budget is exhausted. */
 export function takeRetry (ctx: context.GatewayContext, call: callModule.Call): boolean {
-  const isAllowed = sharedRetryBudget.takeRepeat(budgetOf(ctx, call.service), ctx.budgetOptions(), ctx.nowMs())
+  const budget = budgetOf(ctx, call.service)
+  const options = ctx.budgetOptions()
+  const isAllowed = sharedRetryBudget.takeRepeat(budget, options, ctx.nowMs())
   if (isAllowed) ctx.metrics.repeats.inc({ service: call.service })
-  else ctx.log.emit('repeatDenied', { request: call.id, service: call.service })
+  const { requests, repeats, limit } = sharedRetryBudget.budgetUse(budget, options, ctx.nowMs())
+  ctx.log.emit(isAllowed ? 'repeatGranted' : 'repeatDenied', {
+    request: call.id,
+    service: call.service,
+    requests,
+    repeats,
+    limit: Math.round(limit * 10) / 10,
+    gateways: options.gateways
+  })
   return isAllowed
 }
 
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -87,6 +87,7 @@
   backendLimitStated: { number: 2211, level: 'info', text: 'a backend server has stated how many requests a second it takes' },
   backendLimitEnded: { number: 2212, level: 'info', text: 'a backend server no longer states how many requests a second it takes' },
   limitDivided: { number: 2213, level: 'info', text: 'permits for backend servers with a limit were granted to entries in the last second' },
+  repeatGranted: { number: 2214, level: 'info', text: 'a retry was taken from the retry budget' },
   peerHeard: { number: 3101, level: 'info', text: 'the first message of a peer was received' },
   peerSendFailed: { number: 3102, level: 'warn', text: 'a datagram to a peer could not be sent' },
   peerFetchFailed: { number: 3103, level: 'warn', text: 'documents could not be fetched from a peer' },
--- a/src/state/shared-retry-budget.ts
+++ b/src/state/shared-retry-budget.ts
@@ -29,13 +29,30 @@
   budget.requestsAtMs.push(nowMs)
 }
 
-/** Takes one retry from the budget. @returns whether the retry is allowed in the current window. */
-export function takeRepeat (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): boolean {
+/** What a gateway has used of its part in the current window. */
+export interface BudgetUse {
+  requests: number
+  repeats: number
+  /** Number of retries that are allowed in the window. */
+  limit: number
+}
+
+export function budgetUse (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): BudgetUse {
   const fromMs = nowMs - options.windowMs
   dropBefore(budget.requestsAtMs, fromMs)
   dropBefore(budget.repeatsAtMs, fromMs)
-  const limit = budget.requestsAtMs.length * options.ratio + options.extra / options.gateways
-  if (budget.repeatsAtMs.length + 1 > limit * SAFETY_FACTOR) return false
+  const requests = budget.requestsAtMs.length
+  return {
+    requests,
+    repeats: budget.repeatsAtMs.length,
+    limit: (requests * options.ratio + options.extra / options.gateways) * SAFETY_FACTOR
+  }
+}
+
+/** Takes one retry from the budget. @returns whether the retry is allowed in the current window. */
+export function takeRepeat (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): boolean {
+  const { repeats, limit } = budgetUse(budget, options, nowMs)
+  if (repeats + 1 > limit) return false
   budget.repeatsAtMs.push(nowMs)
   return true
 }
