Count a retry from the time at which it is sent

What callers saw: more retries at a service's backend servers within a window than the shared budget allows, when many requests waited in an outage. Cause: a retry was counted when it was granted. It may then wait for seconds for a backend server, so those granted over 12 s arrived within 10. Change: the budget keeps grants. One counts as used until it is sent, then until a window has passed; one that is not sent is returned when its request ends, and one that reached no backend server is used for the next attempt. It replaces takeRepeat; the tests of the budget keep their bounds.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -207,7 +207,7 @@
     const isOverdue = remainingMs <= 0 || rankSilence.isSilent(ctx.pool, this.#backend, nowMs)
     if (!isOverdue) this.#checkSilenceIn(Math.min(remainingMs, SILENCE_CHECK_MS))
     else if (backendPool.isGroupStalled(ctx.pool, this.#backend, nowMs)) this.#checkSilenceIn(SILENCE_CHECK_MS)
-    else if (retries.hasTimeLeft(ctx, this.#call) && retries.takeRetry(ctx, this.#call)) this.#stop('silent')
+    else if (retries.hasTimeLeft(ctx, this.#call) && this.#call.retries.take()) this.#stop('silent')
     else this.#restartSilenceTimer()
   }
 
--- a/src/coordination/gateway/call.ts
+++ b/src/coordination/gateway/call.ts
@@ -6,6 +6,7 @@
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as crashSuspects from '../../state/crash-suspects.js'
 import type * as routingTable from '../../state/routing-table.js'
+import type * as retries from './retries.js'
 
 /** An admitted request. */
 export interface Call {
@@ -26,6 +27,7 @@
   /** The client's own deadline. */
   clientDeadlineAtMs: number
   features: crashSuspects.Features
+  retries: retries.CallRetries
   /** Aborted when the client disconnects. */
   signal: AbortSignal
 }
--- a/src/coordination/gateway/retries.ts
+++ b/src/coordination/gateway/retries.ts
@@ -14,25 +14,68 @@
   return call.deadlineAtMs - ctx.nowMs() > FIRST_RESPONSE_MS
 }
 
-/** Takes a retry from the service's budget. @returns false when the budget is exhausted. */
-export function takeRetry (ctx: context.GatewayContext, call: callModule.Call): boolean {
-  const budget = budgetOf(ctx, call.service)
-  const options = ctx.budgetOptions()
-  const isAllowed = sharedRetryBudget.takeRepeat(budget, options, ctx.nowMs())
-  if (isAllowed) ctx.metrics.repeats.inc({ service: call.service })
-  const { requests, repeats, limit } = sharedRetryBudget.budgetUse(budget, options, ctx.nowMs())
-  ctx.log.emit(isAllowed ? 'repeatGranted' : 'repeatDenied', {
-    request: call.id,
-    service: call.service,
-    requests,
-    repeats,
-    limit: Math.round(limit * 10) / 10,
-    gateways: options.gateways
-  })
-  return isAllowed
+/** Retries of one request, taken from its service's budget. */
+export class CallRetries {
+  readonly #ctx: context.GatewayContext
+  readonly #call: Pick<callModule.Call, 'id' | 'service'>
+  /** The latest retry. */
+  #grant: sharedRetryBudget.RetryGrant | undefined
+
+  constructor (ctx: context.GatewayContext, call: Pick<callModule.Call, 'id' | 'service'>) {
+    this.#ctx = ctx
+    this.#call = call
+  }
+
+  /**
+   * Takes a retry from the budget, unless one was taken that has not been sent.
+   * @returns false when the budget is exhausted.
+   */
+  take (): boolean {
+    const { service } = this.#call
+    if (this.#grant !== undefined && this.#grant.sentAtMs === undefined) return true
+    const budget = budgetOf(this.#ctx, service)
+    this.#grant = sharedRetryBudget.grantRetry(budget, this.#ctx.budgetOptions(), this.#ctx.nowMs())
+    if (this.#grant !== undefined) this.#ctx.metrics.repeats.inc({ service })
+    this.#log(this.#grant === undefined ? 'repeatDenied' : 'repeatGranted', budget)
+    return this.#grant !== undefined
+  }
+
+  /** Called when an attempt begins. */
+  noteSent (): void {
+    if (this.#grant !== undefined) this.#grant.sentAtMs ??= this.#ctx.nowMs()
+  }
+
+  /** Called when an attempt did not reach a backend server, so that its retry can be used for the next one. */
+  noteUnreachable (): void {
+    if (this.#grant !== undefined) this.#grant.sentAtMs = undefined
+  }
+
+  /** Returns a retry that was not sent. Called when the request has ended. */
+  close (): void {
+    if (this.#grant === undefined || this.#grant.sentAtMs !== undefined) return
+    sharedRetryBudget.releaseRetry(budgetOf(this.#ctx, this.#call.service), this.#grant)
+    this.#grant = undefined
+  }
+
+  #log (event: 'repeatGranted' | 'repeatDenied', budget: sharedRetryBudget.SharedRetryBudget): void {
+    const options = this.#ctx.budgetOptions()
+    const { requests, repeats, limit } = sharedRetryBudget.budgetUse(budget, options, this.#ctx.nowMs())
+    this.#ctx.log.emit(event, {
+      request: this.#call.id,
+      service: this.#call.service,
+      requests,
+      repeats,
+      limit: Math.round(limit * 10) / 10,
+      gateways: options.gateways
+    })
+  }
+}
+
+export function noteRequest (ctx: context.GatewayContext, service: string): void {
+  sharedRetryBudget.noteRequest(budgetOf(ctx, service), ctx.nowMs())
 }
 
-export function budgetOf (ctx: context.GatewayContext, service: string): sharedRetryBudget.SharedRetryBudget {
+function budgetOf (ctx: context.GatewayContext, service: string): sharedRetryBudget.SharedRetryBudget {
   let budget = ctx.budgets.get(service)
   if (budget === undefined) {
     budget = sharedRetryBudget.createBudget()
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -7,7 +7,6 @@
 import type * as http from 'node:http'
 import * as routingTable from '../../state/routing-table.js'
 import * as backendPool from '../../state/backend-pool.js'
-import * as sharedRetryBudget from '../../state/shared-retry-budget.js'
 import * as waitQueue from '../../state/wait-queue.js'
 import * as attempt from './attempt.js'
 import * as callModule from './call.js'
@@ -72,8 +71,12 @@
     reply.refuse('process_stopping', 50)
     return
   }
-  sharedRetryBudget.noteRequest(retries.budgetOf(ctx, call.service), arrivedAtMs)
-  await runCall(ctx, call, reply)
+  retries.noteRequest(ctx, call.service)
+  try {
+    await runCall(ctx, call, reply)
+  } finally {
+    call.retries.close()
+  }
 }
 
 interface ReceivedRequest {
@@ -111,7 +114,8 @@
       priority: (team.kind === 'team' ? team.team.priority : undefined) ?? route.priority,
       deadlineAtMs: Math.min(clientDeadlineAtMs, arrivedAtMs + route.timeoutMs) - RESPONSE_TRANSIT_MS,
       clientDeadlineAtMs,
-      features: featuresOf(received, service)
+      features: featuresOf(received, service),
+      retries: new retries.CallRetries(ctx, { id: head.attemptId ?? 'none', service })
     }
   }
 }
@@ -213,6 +217,7 @@
       remainingMs: Math.round(call.deadlineAtMs - ctx.nowMs()),
       lastEventId: history.progress.lastEventId
     })
+    call.retries.noteSent()
     const outcome = await attempt.tryBackend(
       ctx, call, backend, tokens, history.progress, history.runs + 1 < call.route.maxServers,
       tried
@@ -278,6 +283,7 @@
     case 'not_run':
       history.lastFailure = outcome.reason
       history.excluded.add(backendId)
+      if (outcome.cause === 'unreachable') call.retries.noteUnreachable()
       return offerAgainOrEnd(ctx, call, history, reply, outcome.cause === 'unreachable')
     case 'failed':
       history.runs += 1
@@ -293,7 +299,7 @@
 ): NextStep {
   const mayRun = routingTable.mayRepeat(call.route) && history.runs < call.route.maxServers
   if (mayRun && isGranted) return 'again'
-  if (mayRun && retries.hasTimeLeft(ctx, call) && retries.takeRetry(ctx, call)) return 'again'
+  if (mayRun && retries.hasTimeLeft(ctx, call) && call.retries.take()) return 'again'
   sendFailure(history, reply)
   return 'done'
 }
@@ -307,7 +313,7 @@
   wasUnreachable: boolean
 ): NextStep {
   const mayOffer = history.offers < MAX_OFFERS && retries.hasTimeLeft(ctx, call)
-  if (mayOffer && (wasUnreachable || retries.takeRetry(ctx, call))) return 'again_later'
+  if (mayOffer && (wasUnreachable || call.retries.take())) return 'again_later'
   giveUp(call, history, reply, 'not_taken', 200)
   return 'done'
 }
--- a/src/state/__tests__/shared-retry-budget.spec.ts
+++ b/src/state/__tests__/shared-retry-budget.spec.ts
@@ -5,32 +5,77 @@
 
 const OPTIONS: sharedRetryBudget.BudgetOptions = { ratio: 0.2, extra: 90, windowMs: 10_000, gateways: 7 }
 
+interface Gateway {
+  budget: sharedRetryBudget.SharedRetryBudget
+  options: sharedRetryBudget.BudgetOptions
+}
+
+const startGateway = (fields: Partial<sharedRetryBudget.BudgetOptions> = {}): Gateway =>
+  ({ budget: sharedRetryBudget.createBudget(), options: { ...OPTIONS, ...fields } })
+
+/** Takes a retry and sends it at once. */
+function sendRetry ({ budget, options }: Gateway, nowMs: number): boolean {
+  const grant = sharedRetryBudget.grantRetry(budget, options, nowMs)
+  if (grant !== undefined) grant.sentAtMs = nowMs
+  return grant !== undefined
+}
+
+function sendAll (gateway: Gateway, nowMs: number): number {
+  let sent = 0
+  while (sendRetry(gateway, nowMs)) sent += 1
+  return sent
+}
+
+function mostInWindow (timesMs: readonly number[]): number {
+  return Math.max(0, ...timesMs.map(fromMs =>
+    timesMs.filter(atMs => atMs >= fromMs && atMs < fromMs + OPTIONS.windowMs).length))
+}
+
 // Guards against gateways that each stay within their part but together multiply the load of an outage.
 test('all gateways together stay within the shared budget in every window', () => {
-  const gateways = Array.from({ length: OPTIONS.gateways }, sharedRetryBudget.createBudget)
+  const gateways = Array.from({ length: OPTIONS.gateways }, () => startGateway())
   const repeatsAtMs: number[] = []
   let requests = 0
   // As during an outage, each request is retried again and again.
   for (let nowMs = 0; nowMs < 30_000; nowMs += 10) {
-    const budget = gateways[nowMs / 10 % gateways.length]!
+    const gateway = gateways[nowMs / 10 % gateways.length]!
     if (nowMs % 50 === 0) {
-      sharedRetryBudget.noteRequest(budget, nowMs)
+      sharedRetryBudget.noteRequest(gateway.budget, nowMs)
       requests += 1
     }
-    if (sharedRetryBudget.takeRepeat(budget, OPTIONS, nowMs)) repeatsAtMs.push(nowMs)
-  }
-  for (const fromMs of repeatsAtMs) {
-    const inWindow = repeatsAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + OPTIONS.windowMs).length
-    expect(inWindow).toBeLessThanOrEqual(0.2 * 200 + 90)
+    if (sendRetry(gateway, nowMs)) repeatsAtMs.push(nowMs)
   }
+  expect(mostInWindow(repeatsAtMs)).toBeLessThanOrEqual(0.2 * 200 + 90)
   expect(requests).toBe(600)
 })
 
 // Guards against a gateway with little traffic that can't retry.
 test('a gateway without requests may still use its part of the extra', () => {
-  const budget = sharedRetryBudget.createBudget()
-  let taken = 0
-  while (sharedRetryBudget.takeRepeat(budget, OPTIONS, 0)) taken += 1
+  const taken = sendAll(startGateway(), 0)
   expect(taken).toBeGreaterThan(8)
   expect(taken).toBeLessThanOrEqual(90 / 7)
 })
+
+// Guards against retries that are granted over a long time, wait for a backend server, and all arrive in one window.
+test('a retry counts from the time at which it is sent', () => {
+  const gateway = startGateway({ gateways: 1 })
+  const waiting: sharedRetryBudget.RetryGrant[] = []
+  for (;;) {
+    const grant = sharedRetryBudget.grantRetry(gateway.budget, gateway.options, 0)
+    if (grant === undefined) break
+    waiting.push(grant)
+  }
+  for (const grant of waiting) grant.sentAtMs = 9_000
+  expect(sendAll(gateway, 15_000)).toBe(0)
+  expect(sendAll(gateway, 19_001)).toBe(waiting.length)
+})
+
+test('a retry that is not sent returns to the budget', () => {
+  const gateway = startGateway({ gateways: 90 })
+  expect(sendAll(gateway, 0)).toBe(0)
+  const single = startGateway({ gateways: 60 })
+  const grant = sharedRetryBudget.grantRetry(single.budget, single.options, 0)!
+  expect(sendAll(single, 0)).toBe(0)
+  sharedRetryBudget.releaseRetry(single.budget, grant)
+  expect(sendAll(single, 0)).toBe(1)
+})
--- a/src/state/shared-retry-budget.ts
+++ b/src/state/shared-retry-budget.ts
@@ -1,6 +1,9 @@
 /**
  * One gateway's part of a retry budget that all gateways share: its own requests times the ratio, plus an equal part of
  * the extra. The sum over all gateways stays within the limit without messages between them.
+ *
+ * Load pattern: during an outage each request is retried. Retries wait until backend servers are back and are then sent
+ * together.
  */
 
 export interface BudgetOptions {
@@ -13,16 +16,22 @@
   gateways: number
 }
 
+/** A retry that the budget allows. It counts until a window has passed after it was sent. */
+export interface RetryGrant {
+  /** Undefined until the retry is sent. */
+  sentAtMs: number | undefined
+}
+
 export interface SharedRetryBudget {
   requestsAtMs: number[]
-  repeatsAtMs: number[]
+  grants: Set<RetryGrant>
 }
 
 /** Leaves a margin, because retries are counted when they arrive at a backend server, later than they are sent. */
 const SAFETY_FACTOR = 0.9
 
 export function createBudget (): SharedRetryBudget {
-  return { requestsAtMs: [], repeatsAtMs: [] }
+  return { requestsAtMs: [], grants: new Set() }
 }
 
 export function noteRequest (budget: SharedRetryBudget, nowMs: number): void {
@@ -32,6 +41,7 @@
 /** What a gateway has used of its part in the current window. */
 export interface BudgetUse {
   requests: number
+  /** Retries that were sent in the window or are still to be sent. */
   repeats: number
   /** Number of retries that are allowed in the window. */
   limit: number
@@ -39,26 +49,28 @@
 
 export function budgetUse (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): BudgetUse {
   const fromMs = nowMs - options.windowMs
-  dropBefore(budget.requestsAtMs, fromMs)
-  dropBefore(budget.repeatsAtMs, fromMs)
+  budget.requestsAtMs = budget.requestsAtMs.filter(atMs => atMs >= fromMs)
+  for (const grant of budget.grants) {
+    if (grant.sentAtMs !== undefined && grant.sentAtMs < fromMs) budget.grants.delete(grant)
+  }
   const requests = budget.requestsAtMs.length
   return {
     requests,
-    repeats: budget.repeatsAtMs.length,
+    repeats: budget.grants.size,
     limit: (requests * options.ratio + options.extra / options.gateways) * SAFETY_FACTOR
   }
 }
 
-/** Takes one retry from the budget. @returns whether the retry is allowed in the current window. */
-export function takeRepeat (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): boolean {
+/** Takes one retry from the budget. @returns undefined when the current window allows none. */
+export function grantRetry (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): RetryGrant | undefined {
   const { repeats, limit } = budgetUse(budget, options, nowMs)
-  if (repeats + 1 > limit) return false
-  budget.repeatsAtMs.push(nowMs)
-  return true
+  if (repeats + 1 > limit) return undefined
+  const grant: RetryGrant = { sentAtMs: undefined }
+  budget.grants.add(grant)
+  return grant
 }
 
-function dropBefore (times: number[], fromMs: number): void {
-  let count = 0
-  while (count < times.length && times[count]! < fromMs) count += 1
-  if (count > 0) times.splice(0, count)
+/** Returns a retry that will not be sent. */
+export function releaseRetry (budget: SharedRetryBudget, grant: RetryGrant): void {
+  budget.grants.delete(grant)
 }
