Give a process that starts again no part of the extra retries for a window

Cause: what a process has spent of its part of the shared budget is known to the process alone, so that each start had a whole part once more. Class: a bound that must hold longer than a process lives, kept only in the process. Entries that had just started also divided by the setting alone until they heard their peers, and parts of peers that had left were divided anew at once. The extra is divided among the highest number of gateways of the last window. No disk or call is needed, and it holds when all processes die at once.

--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -107,6 +107,7 @@
       broadcast: message => { this.#peers.broadcast(message, 'entry') },
       signal
     })
+    const recordsSinceMs = options.systemStart === 'first' ? -Infinity : env.nowMs()
     this.#context = {
       ...env,
       codec: adapter.calls,
@@ -131,7 +132,8 @@
         ratio: options.retryRatio,
         extra: options.retryExtra,
         windowMs: options.retryWindowS * 1_000,
-        gateways: this.#gatewayCount()
+        gateways: this.#gatewayCount(),
+        recordsSinceMs
       }),
       routing: () => this.#documents.routing,
       isRefusingRequests: () => this.#isRefusingRequests(),
--- a/src/coordination/gateway/retries.ts
+++ b/src/coordination/gateway/retries.ts
@@ -72,7 +72,7 @@
 }
 
 export function noteRequest (ctx: context.GatewayContext, service: string): void {
-  sharedRetryBudget.noteRequest(budgetOf(ctx, service), ctx.nowMs())
+  sharedRetryBudget.noteRequest(budgetOf(ctx, service), ctx.budgetOptions(), ctx.nowMs())
 }
 
 function budgetOf (ctx: context.GatewayContext, service: string): sharedRetryBudget.SharedRetryBudget {
--- a/src/protocol/platform-settings.ts
+++ b/src/protocol/platform-settings.ts
@@ -33,7 +33,8 @@
   retryRatio: { flag: 'retry-ratio', description: 'retries per request that all entries together may make', fallback: '0.2', schema: schemas.number(0, 10) },
   retryExtra: { flag: 'retry-extra', description: 'retries per window in addition to the ratio, for all entries together', fallback: '10', schema: schemas.number(0, 1_000_000) },
   retryWindowS: { flag: 'retry-window-s', description: 'window of the retry budget, in s', fallback: '10', schema: schemas.number(0.1, 3_600) },
-  expectedEntries: { flag: 'expected-entries', description: 'minimum number of entries that the retry budget is divided among', fallback: '10', schema: schemas.integer(1, 10_000) }
+  expectedEntries: { flag: 'expected-entries', description: 'minimum number of entries that the retry budget is divided among', fallback: '10', schema: schemas.integer(1, 10_000) },
+  systemStart: { flag: 'system-start', description: '`first` when the whole system starts for the first time, else `again`: retries of earlier processes are then unknown, and the extra of the retry budget is used only after a window', fallback: 'again', schema: schemas.choice('first', 'again') }
 } satisfies settings.SettingTable
 
 export const agentSettings = {
--- a/src/state/__tests__/shared-retry-budget.spec.ts
+++ b/src/state/__tests__/shared-retry-budget.spec.ts
@@ -3,7 +3,10 @@
 
 const { expect, test } = vitest
 
-const OPTIONS: sharedRetryBudget.BudgetOptions = { ratio: 0.2, extra: 90, windowMs: 10_000, gateways: 7 }
+const LONG_AGO_MS = -60_000
+const OPTIONS: sharedRetryBudget.BudgetOptions = {
+  ratio: 0.2, extra: 90, windowMs: 10_000, gateways: 7, recordsSinceMs: LONG_AGO_MS
+}
 
 interface Gateway {
   budget: sharedRetryBudget.SharedRetryBudget
@@ -40,7 +43,7 @@
   for (let nowMs = 0; nowMs < 30_000; nowMs += 10) {
     const gateway = gateways[nowMs / 10 % gateways.length]!
     if (nowMs % 50 === 0) {
-      sharedRetryBudget.noteRequest(gateway.budget, nowMs)
+      sharedRetryBudget.noteRequest(gateway.budget, gateway.options, nowMs)
       requests += 1
     }
     if (sendRetry(gateway, nowMs)) repeatsAtMs.push(nowMs)
@@ -56,6 +59,23 @@
   expect(taken).toBeLessThanOrEqual(90 / 7)
 })
 
+// Guards against a process that has its whole part of the extra again after each start.
+test('gateways that are killed again and again stay within the shared budget', () => {
+  const gateways = Array.from({ length: OPTIONS.gateways }, () => startGateway())
+  const repeatsAtMs: number[] = []
+  for (let nowMs = 0; nowMs < 40_000; nowMs += 10) {
+    const isKilled = [5_000, 8_500, 12_000, 25_000].includes(nowMs)
+    if (isKilled) for (const index of gateways.keys()) gateways[index] = startGateway({ recordsSinceMs: nowMs })
+    const gateway = gateways[nowMs / 10 % gateways.length]!
+    if (nowMs % 20 === 0) sharedRetryBudget.noteRequest(gateway.budget, gateway.options, nowMs)
+    if (sendRetry(gateway, nowMs)) repeatsAtMs.push(nowMs)
+  }
+  expect(mostInWindow(repeatsAtMs)).toBeLessThanOrEqual(0.2 * 500 + 90)
+  // The ratio is available at once, and the extra comes back when all have run for a window.
+  expect(repeatsAtMs.filter(atMs => atMs >= 5_000 && atMs < 8_500).length).toBeGreaterThan(20)
+  expect(repeatsAtMs.filter(atMs => atMs >= 22_500 && atMs < 25_000).length).toBeGreaterThan(60)
+})
+
 // Guards against retries that are granted over a long time, wait for a backend server, and all arrive in one window.
 test('a retry counts from the time at which it is sent', () => {
   const gateway = startGateway({ gateways: 1 })
@@ -79,3 +99,13 @@
   sharedRetryBudget.releaseRetry(single.budget, grant)
   expect(sendAll(single, 0)).toBe(1)
 })
+
+// Guards against gateways that use the parts of those that have just left, which may be spent.
+test('the extra is divided among all gateways of the last window', () => {
+  const gateway = startGateway({ gateways: 10 })
+  expect(sendAll(gateway, 0)).toBe(8)
+  gateway.options.gateways = 2
+  sharedRetryBudget.noteRequest(gateway.budget, gateway.options, 5_000)
+  expect(sendAll(gateway, 5_000)).toBe(0)
+  expect(sendAll(gateway, 10_001)).toBeGreaterThan(30)
+})
