Continue a stream that broke off only with events that follow it

What callers would see: the answer of the next backend server as a part of their stream, or a stream that ends as complete after one of its first pieces; and the whole entry ended, with all its requests, when that answer was a 404. Cause: an answer below 500 to a resumption was sent as the response of the request, though the client had its head (ERR_HTTP_HEADERS_SENT). Any 2xx was read as a stream and completed it: a 204, an empty stream, an error document. Events without an id were passed on. A stream whose events have no ids began again. Class: an answer is judged by itself and not against what the client has. Change: after its head, a response goes on only with status 200, the content type of the head and events whose ids follow. One that brings no further event is no proof that the stream is complete, so the stream ends as broken off, and the client may resume it; a 204 is treated alike. An error is a failed attempt like any other. A stream without ids is not continued.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -2,6 +2,7 @@
  * Sends a call to one backend server and determines the outcome of the attempt.
  */
 
+import type * as http from 'node:http'
 import * as availability from '../../state/availability.js'
 import * as backendPool from '../../state/backend-pool.js'
 import * as rankSilence from '../../state/rank-silence.js'
@@ -104,12 +105,16 @@
   }
   const rejection = wholeResponse.checkResponse(request.head.attemptId, status, head)
   if (rejection !== undefined) {
-    response.on('error', () => {})
-    response.destroy()
+    dropResponse(response)
     return rejection
   }
   const headers = ctx.codec.returnedHeaders(response)
   if (request.route.isStream && status >= 200 && status < 300) {
+    const problem = streamAttempt.continuationProblem(response, progress)
+    if (problem !== undefined) {
+      dropResponse(response)
+      return { kind: 'failed', reason: problem }
+    }
     const outcome = await streamAttempt.relayStream(response, {
       response: request.response,
       connection,
@@ -132,6 +137,11 @@
   return watch.signal.aborted ? watch.outcome(true) : { kind: 'failed', reason: whole.reason }
 }
 
+function dropResponse (response: http.IncomingMessage): void {
+  response.on('error', () => {})
+  response.destroy()
+}
+
 /** Ends an attempt at the deadline, when the client disconnects, or when the backend server is silent for too long. */
 class AttemptWatch {
   stopReason: StopReason | undefined
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -13,10 +13,10 @@
 import * as readBody from './read-body.js'
 import * as retries from './retries.js'
 import * as replies from './reply.js'
+import * as streamAttempt from './stream-attempt.js'
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as crashSuspects from '../../state/crash-suspects.js'
 import type * as context from './context.js'
-import type * as streamAttempt from './stream-attempt.js'
 import type * as suspectGate from './suspect-gate.js'
 
 /** Time reserved before the client's deadline for the response to reach the client. */
@@ -154,6 +154,7 @@
     offers: 0,
     progress: {
       hasHead: false,
+      contentType: undefined,
       lastEventId: call.head.lastEventId,
       events: 0,
       firstEventAtMs: undefined,
@@ -271,7 +272,7 @@
       reply.timedOut(outcome.wasSent || history.runs > 0)
       return 'done'
     case 'response':
-      if (outcome.status < 500) {
+      if (outcome.status < 500 && !history.progress.hasHead) {
         reply.forwardResponse(outcome, call.route, history.progress)
         return 'done'
       }
@@ -297,7 +298,8 @@
 function retryOrEnd (
   ctx: context.GatewayContext, call: callModule.Call, history: CallHistory, reply: replies.Reply, isGranted = false
 ): NextStep {
-  const mayRun = routingTable.mayRepeat(call.route) && history.runs < call.route.maxServers
+  const mayRun = routingTable.mayRepeat(call.route) && history.runs < call.route.maxServers &&
+    streamAttempt.canContinue(history.progress)
   if (mayRun && isGranted) return 'again'
   if (mayRun && retries.hasTimeLeft(ctx, call) && call.retries.take()) return 'again'
   sendFailure(history, reply)
--- a/src/coordination/gateway/stream-attempt.ts
+++ b/src/coordination/gateway/stream-attempt.ts
@@ -11,6 +11,8 @@
 /** How much of the stream the client has received. */
 export interface StreamProgress {
   hasHead: boolean
+  /** Content type of the response head that the client has. */
+  contentType: string | undefined
   lastEventId: number | undefined
   events: number
   firstEventAtMs: number | undefined
@@ -32,8 +34,27 @@
 /** Maximum bytes buffered for a slow client; above it, reading from the backend server is paused. */
 const MAX_UNREAD_BYTES = 256 * 1024
 
+/** Whether another attempt can go on where the stream broke off. */
+export function canContinue (progress: StreamProgress): boolean {
+  return !progress.hasHead || progress.lastEventId !== undefined
+}
+
+/** @returns the reason if a response can't continue the stream whose head the client has. */
+export function continuationProblem (response: http.IncomingMessage, progress: StreamProgress): string | undefined {
+  if (!progress.hasHead) return undefined
+  if (response.statusCode !== 200) return `the stream was continued with status ${response.statusCode}`
+  const contentType = response.headers['content-type']
+  return contentType === progress.contentType ? undefined : `the stream was continued with content of type ${contentType}`
+}
+
+/**
+ * Relays until the stream ends. One that continues an earlier attempt is complete only if it has brought an event: an
+ * empty response does not show that the backend server knows the stream.
+ */
 export async function relayStream (source: http.IncomingMessage, options: StreamOptions): Promise<call.AttemptOutcome> {
   const { response, progress } = options
+  const isContinued = progress.hasHead
+  const continuedAfterId = progress.lastEventId
   const splitter = new eventStream.EventSplitter()
   return await new Promise(resolve => {
     const fail = (reason: string): void => {
@@ -48,7 +69,7 @@
         return
       }
       for (const event of events) {
-        const problem = forwardEvent(event, options)
+        const problem = forwardEvent(event, options, isContinued, source.headers['content-type'])
         if (problem !== undefined) {
           fail(problem)
           return
@@ -65,6 +86,7 @@
       if (!source.complete || options.connection.wasReset) fail('the stream ended early')
       else if (splitter.hasPartialEvent) fail('the stream ended within an event')
       else if (!progress.hasHead) fail('the stream has no event')
+      else if (isContinued && progress.lastEventId === continuedAfterId) fail('the stream has no further event')
       else {
         response.end()
         resolve({ kind: 'delivered', status: options.status })
@@ -74,8 +96,12 @@
 }
 
 /** Forwards one event to the client. @returns the reason if it can't follow those already forwarded. */
-function forwardEvent (event: eventStream.StreamEvent, options: StreamOptions): string | undefined {
+function forwardEvent (
+  event: eventStream.StreamEvent, options: StreamOptions, isContinued: boolean, contentType: string | undefined
+): string | undefined {
   const { progress, response } = options
+  // Without an id, nothing shows that the event follows those that the client has.
+  if (isContinued && event.id === undefined && event.hasData) return 'an event without an id continues the stream'
   if (event.id !== undefined && progress.lastEventId !== undefined) {
     // A backend server that restarts the stream repeats events that the client already has.
     if (event.id <= progress.lastEventId) return undefined
@@ -84,6 +110,7 @@
   if (!progress.hasHead) {
     response.writeHead(options.status, options.headers)
     progress.hasHead = true
+    progress.contentType = contentType
     progress.firstEventAtMs = options.nowMs()
   }
   response.write(event.bytes)
--- a/src/protocol/event-stream.ts
+++ b/src/protocol/event-stream.ts
@@ -7,11 +7,14 @@
   bytes: Buffer
   /** Undefined when the event has no numeric id. */
   id: number | undefined
+  /** Whether clients see the event; a comment is not seen. */
+  hasData: boolean
 }
 
 /** A larger event is treated as a failure of the stream. */
 const MAX_EVENT_BYTES = 1024 * 1024
 const LINE_FEED = 0x0a
+const DATA_LINE = /^data(:|\r?$)/m
 
 export class EventSplitter {
   #rest: Buffer = Buffer.alloc(0)
@@ -23,7 +26,8 @@
     let start = 0
     for (let end = eventEnd(data, start); end > 0; end = eventEnd(data, start)) {
       const bytes = data.subarray(start, end)
-      events.push({ bytes, id: idOf(bytes) })
+      const text = bytes.toString('latin1')
+      events.push({ bytes, id: idOf(text), hasData: DATA_LINE.test(text) })
       start = end
     }
     this.#rest = data.subarray(start)
@@ -45,7 +49,7 @@
   return 0
 }
 
-function idOf (bytes: Buffer): number | undefined {
-  const match = /^id: ?(\d+)\r?$/m.exec(bytes.toString('latin1'))
+function idOf (text: string): number | undefined {
+  const match = /^id: ?(\d+)\r?$/m.exec(text)
   return match === null ? undefined : Number(match[1])
 }
