Believe a refusal only if it does not name another request

Cause: the mark of a refusal was looked at before the id of its request. The load, the pause, the leaving and the fault of another server that a response states were taken before the id was checked, too. Class: a claim is used before it is known whose it is. Change: a response with another id is a failed attempt that may have run, and says nothing about its server; only a stated limit keeps its own check of the id. One without an id is believed as before: each request has a connection of its own, and refusals may lack the id.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -11,6 +11,7 @@
 import * as wholeResponse from './whole-response.js'
 import * as retries from './retries.js'
 import * as streamAttempt from './stream-attempt.js'
+import type * as callCodec from '../../protocol/call-codec.js'
 import type * as call from './call.js'
 import type * as context from './context.js'
 
@@ -93,16 +94,8 @@
   const { response, connection } = result
   const status = response.statusCode ?? 0
   const head = ctx.codec.readResponse(response)
-  if (head.load !== undefined) backendPool.noteLoad(backend, head.load, ctx.nowMs())
-  if (head.isLeaving) ctx.onLeaving(backend.row)
-  if (head.pauseMs !== undefined) {
-    availability.notePause(backend, head.pauseMs, ctx.nowMs())
-    ctx.log.emit('backendPaused', { request: request.id, backend: backend.row.id, pauseMs: head.pauseMs })
-  }
   ctx.limits.noteResponse(backend.row, wholeResponse.statedLimit(request.head.attemptId, head), sentAtMs)
-  if (head.faultyBackendId !== undefined && head.faultyBackendId !== backend.row.id) {
-    backendPool.noteGroupBroken(ctx.pool, backend, ctx.nowMs())
-  }
+  if (!wholeResponse.isOfAnotherRequest(request.head.attemptId, head)) noteHead(ctx, request, backend, head)
   const rejection = wholeResponse.checkResponse(request.head.attemptId, status, head)
   if (rejection !== undefined) {
     dropResponse(response)
@@ -137,6 +130,21 @@
   return watch.signal.aborted ? watch.outcome(true) : { kind: 'failed', reason: whole.reason }
 }
 
+/** Applies what a response says about its backend server. */
+function noteHead (
+  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, head: callCodec.ResponseHead
+): void {
+  if (head.load !== undefined) backendPool.noteLoad(backend, head.load, ctx.nowMs())
+  if (head.isLeaving) ctx.onLeaving(backend.row)
+  if (head.pauseMs !== undefined) {
+    availability.notePause(backend, head.pauseMs, ctx.nowMs())
+    ctx.log.emit('backendPaused', { request: request.id, backend: backend.row.id, pauseMs: head.pauseMs })
+  }
+  if (head.faultyBackendId !== undefined && head.faultyBackendId !== backend.row.id) {
+    backendPool.noteGroupBroken(ctx.pool, backend, ctx.nowMs())
+  }
+}
+
 function dropResponse (response: http.IncomingMessage): void {
   response.on('error', () => {})
   response.destroy()
--- a/src/coordination/gateway/whole-response.ts
+++ b/src/coordination/gateway/whole-response.ts
@@ -40,6 +40,11 @@
   return hasLength || response.statusCode === 204 || response.statusCode === 304 ? 'length' : 'connection_end'
 }
 
+/** Whether a response names another request. A backend server may write one once more before its own response. */
+export function isOfAnotherRequest (attemptId: string | undefined, head: callCodec.ResponseHead): boolean {
+  return head.attemptId !== undefined && head.attemptId !== attemptId
+}
+
 /**
  * Checks whether a response belongs to the request and may be forwarded unchanged.
  * @returns the outcome of the attempt when the response may not be forwarded.
@@ -47,12 +52,10 @@
 export function checkResponse (
   attemptId: string | undefined, status: number, head: callCodec.ResponseHead
 ): call.AttemptOutcome | undefined {
+  if (isOfAnotherRequest(attemptId, head)) return { kind: 'failed', reason: 'the response belongs to another request' }
   if (head.isNotRun) {
     return { kind: 'not_run', reason: `status ${status}`, cause: head.isOtherInstance ? 'replaced' : 'declined' }
   }
-  if (head.attemptId !== undefined && head.attemptId !== attemptId) {
-    return { kind: 'failed', reason: 'the response belongs to another request' }
-  }
   if (status >= 200 && status < 300 && !head.isSigned) return { kind: 'failed', reason: 'the response is not signed' }
   // These statuses tell the client that the request has not run, which the backend server did not confirm.
   if ([408, 421, 429, 503].includes(status)) return { kind: 'failed', reason: `status ${status} without a promise` }
@@ -67,6 +70,6 @@
   attemptId: string | undefined, head: callCodec.ResponseHead
 ): backendLimits.StatedLimit {
   const isProven = head.attemptId === attemptId && (head.isSigned || head.isNotRun)
-  const isOwn = isProven || head.attemptId === undefined || head.attemptId === attemptId
+  const isOwn = !isOfAnotherRequest(attemptId, head)
   return isProven || (isOwn && head.limit.kind === 'limit') ? head.limit : { kind: 'unreadable' }
 }
