Break the import cycle between a call and its retries

Cause: the check of the boundary fails since: call.ts names the retries of a call, and retries.ts the type of the call. Change: retries.ts states the fields that it needs. Result: scripts/check-boundary.js passes.

--- a/src/coordination/gateway/retries.ts
+++ b/src/coordination/gateway/retries.ts
@@ -4,24 +4,29 @@
  */
 
 import * as sharedRetryBudget from '../../state/shared-retry-budget.js'
-import type * as callModule from './call.js'
 import type * as context from './context.js'
 
 /** Time from sending a request to an idle backend server until its first event or whole response. */
 const FIRST_RESPONSE_MS = 120
 
-export function hasTimeLeft (ctx: context.GatewayContext, call: callModule.Call): boolean {
+export function hasTimeLeft (ctx: context.GatewayContext, call: { deadlineAtMs: number }): boolean {
   return call.deadlineAtMs - ctx.nowMs() > FIRST_RESPONSE_MS
 }
 
+interface RetriedCall {
+  /** Id of the client's attempt, for the log. */
+  id: string
+  service: string
+}
+
 /** Retries of one request, taken from its service's budget. */
 export class CallRetries {
   readonly #ctx: context.GatewayContext
-  readonly #call: Pick<callModule.Call, 'id' | 'service'>
+  readonly #call: RetriedCall
   /** The latest retry. */
   #grant: sharedRetryBudget.RetryGrant | undefined
 
-  constructor (ctx: context.GatewayContext, call: Pick<callModule.Call, 'id' | 'service'>) {
+  constructor (ctx: context.GatewayContext, call: RetriedCall) {
     this.#ctx = ctx
     this.#call = call
   }
