Check what other writers state before it is used, and end only the request at fault

What callers would see: all requests of an entry broken off, again after each start while the row stands; requests sent there ended the process. Cause: a row with port 70000 passed the check of its text, and http.request throws for it. An id with a line break or another character that no header may have, and a response with status 099, ended the process in the same way. Class: a text is checked for its form only and used where a value out of range throws; and an exception in one request ended the process. Searched: rows (ports, octets, ids, numbers, depth), reports of ranks, statuses and other datagrams (the fields of three kinds were not checked at all), calls between agents, responses, deadlines of clients beyond any timer. Depth, broken bytes and integers beyond 2^53 ended nothing before either. Agents read no rows; odd datagrams ended neither role before nor after.

--- a/src/coordination/cluster/membership-row.ts
+++ b/src/coordination/cluster/membership-row.ts
@@ -4,7 +4,7 @@
  */
 
 import * as timers from 'node:timers/promises'
-import * as peerAddress from '../../state/peer-address.js'
+import * as socketAddress from '../../protocol/socket-address.js'
 import type * as controlStore from '../../protocol/control-store.js'
 import type * as clusterView from '../../state/cluster-view.js'
 import type * as runtime from '../runtime.js'
@@ -36,7 +36,7 @@
     const listed = await store.list(MEMBERS_TABLE, '', signal)
     if (listed.kind === 'ok') {
       // Rows may come from another writer.
-      options.onMembers(listed.value.rows.map(row => row.key).filter(peerAddress.isPeerAddress))
+      options.onMembers(listed.value.rows.map(row => row.key).filter(socketAddress.isSocketAddress))
       // A store that came back from an older copy may have lost the row.
       isWritten = listed.value.rows.some(row => row.key === address)
     }
--- a/src/coordination/cluster/peer-links.ts
+++ b/src/coordination/cluster/peer-links.ts
@@ -130,7 +130,11 @@
       clusterView.addAddresses(this.view, message.known, nowMs)
       if (isNew) this.#options.runtime.log.emit('peerHeard', { peer: message.status.address, role: message.status.role })
     }
-    this.#options.onMessage(message)
+    try {
+      this.#options.onMessage(message)
+    } catch (error) {
+      this.#options.runtime.log.emit('peerMessageFault', { peer: from, kind: message.kind, detail: (error as Error).stack })
+    }
   }
 }
 
--- a/src/coordination/gateway/backend-call.ts
+++ b/src/coordination/gateway/backend-call.ts
@@ -40,15 +40,11 @@
   const { signal } = options
   if (signal.aborted) return { kind: 'aborted', wasSent: false }
   return await new Promise(resolve => {
-    const [host, port] = options.address.split(':')
-    const request = http.request({
-      host,
-      port: Number(port),
-      method: options.method,
-      path: options.path,
-      agent,
-      headers: headersWithLength(options) as unknown as http.OutgoingHttpHeaders
-    })
+    const request = openRequest(options)
+    if (request instanceof Error) {
+      resolve({ kind: 'unreachable', reason: request.message })
+      return
+    }
     let wasSent = false
     const connection: BackendConnection = { wasReset: false }
     const abort = (): void => {
@@ -79,6 +75,23 @@
   })
 }
 
+/** @returns the error for an address or a header that can't be sent. */
+function openRequest (options: BackendCallOptions): http.ClientRequest | Error {
+  const [host, port] = options.address.split(':')
+  try {
+    return http.request({
+      host,
+      port: Number(port),
+      method: options.method,
+      path: options.path,
+      agent,
+      headers: headersWithLength(options) as unknown as http.OutgoingHttpHeaders
+    })
+  } catch (error) {
+    return error as Error
+  }
+}
+
 function headersWithLength (options: BackendCallOptions): string[] {
   const hasBody = options.body.length > 0 || !['GET', 'HEAD', 'DELETE', 'OPTIONS'].includes(options.method)
   const length = hasBody ? ['Content-Length', String(options.body.length)] : []
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -163,7 +163,11 @@
     this.#clientServer = await this.#listen(this.#options.clientAddress, (request, response) => {
       this.#inFlight += 1
       response.once('close', () => { this.#inFlight -= 1 })
-      serveCall.serveCall(this.#context, request, response)
+      serveCall.serveCall(this.#context, request, response).catch((error: Error) => {
+        // The request may have run, so its client gets no answer.
+        response.destroy()
+        this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
+      })
     })
     await this.#listen(this.#options.readinessAddress, (request, response) => {
       this.#answerReadiness(request, response)
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -23,6 +23,8 @@
 const RESPONSE_TRANSIT_MS = 10
 /** Time to the deadline of a client that doesn't state how long it waits. */
 const DEFAULT_REMAINING_MS = 30_000
+/** Timers can't be longer than 24 days. */
+const MAX_REMAINING_MS = 86_400_000
 /** Most first responses arrive within this multiple of the smoothed time to the first response. */
 const RESPONSE_SPREAD = 1.5
 /** A request that was declined is not offered to further backend servers after this many attempts. */
@@ -41,12 +43,12 @@
   const routing = ctx.routing()
   if (routing === undefined) {
     // It is unknown when the configuration arrives, and the client may retry only once.
-    const remainingMs = head.remainingMs ?? DEFAULT_REMAINING_MS
+    const remainingMs = remainingMsOf(head)
     reply.refuse('no_configuration', waitQueue.retryAfterMs(undefined, remainingMs, ctx.random()))
     return
   }
   const limits = routing.configuration.limits
-  const body = await readBody.readBody(request, limits.maxBodyBytes, head.remainingMs ?? DEFAULT_REMAINING_MS)
+  const body = await readBody.readBody(request, limits.maxBodyBytes, remainingMsOf(head))
   if (body.kind === 'client_gone') {
     reply.clientGone('before the request was complete')
     return
@@ -79,6 +81,10 @@
   }
 }
 
+function remainingMsOf (head: callCodec.CallHead): number {
+  return Math.min(head.remainingMs ?? DEFAULT_REMAINING_MS, MAX_REMAINING_MS)
+}
+
 interface ReceivedRequest {
   request: http.IncomingMessage
   response: http.ServerResponse
@@ -101,7 +107,7 @@
   if (team.kind === 'unknown_key') return { kind: 'rejected', status: 401, reason: 'unknown_key' }
   const service = routingTable.chooseTarget(route, ctx.random())
   if (service === undefined) return { kind: 'rejected', status: 502, reason: 'route_without_service' }
-  const clientDeadlineAtMs = arrivedAtMs + (head.remainingMs ?? DEFAULT_REMAINING_MS)
+  const clientDeadlineAtMs = arrivedAtMs + remainingMsOf(head)
   return {
     kind: 'admitted',
     call: {
--- a/src/coordination/gateway/whole-response.ts
+++ b/src/coordination/gateway/whole-response.ts
@@ -9,6 +9,8 @@
 import type * as backendCall from './backend-call.js'
 import type * as call from './call.js'
 
+const MIN_FINAL_STATUS = 200
+
 export type ReadResult =
   | { kind: 'whole', body: Buffer, framing: call.BodyFraming }
   | { kind: 'incomplete', reason: string }
@@ -52,6 +54,8 @@
 export function checkResponse (
   attemptId: string | undefined, status: number, head: callCodec.ResponseHead
 ): call.AttemptOutcome | undefined {
+  // Node passes on any number of three digits, and throws for these when it sends them.
+  if (status < MIN_FINAL_STATUS) return { kind: 'failed', reason: `status ${status} is invalid` }
   if (isOfAnotherRequest(attemptId, head)) return { kind: 'failed', reason: 'the response belongs to another request' }
   if (head.isNotRun) {
     return { kind: 'not_run', reason: `status ${status}`, cause: head.isOtherInstance ? 'replaced' : 'declined' }
--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -321,7 +321,10 @@
 
   async #listen (): Promise<void> {
     const server = http.createServer({ noDelay: true }, (request, response) => {
-      this.#handleRequest(request, response)
+      this.#handleRequest(request, response).catch((error: Error) => {
+        response.destroy()
+        this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
+      })
     })
     const [host, port] = this.#options.peerAddress.split(':')
     await new Promise<void>((resolve, reject) => {
--- a/src/coordination/ranks/lead-election.ts
+++ b/src/coordination/ranks/lead-election.ts
@@ -6,7 +6,7 @@
  */
 
 import * as clusterView from '../../state/cluster-view.js'
-import * as peerAddress from '../../state/peer-address.js'
+import * as socketAddress from '../../protocol/socket-address.js'
 import type * as peerMessage from '../../protocol/peer-message.js'
 import type * as controlStore from '../../protocol/control-store.js'
 import type * as peerLinks from '../cluster/peer-links.js'
@@ -229,7 +229,7 @@
   if (value === undefined) return undefined
   try {
     const parsed = JSON.parse(value.toString('utf8')) as Partial<RecordedLead>
-    const isValid = Number.isSafeInteger(parsed.term) && peerAddress.isPeerAddress(parsed.address)
+    const isValid = Number.isSafeInteger(parsed.term) && socketAddress.isSocketAddress(parsed.address)
     if (isValid) return parsed as RecordedLead
   } catch {
     // An unreadable row is overwritten by the next lead.
--- a/src/protocol/limit-messages.ts
+++ b/src/protocol/limit-messages.ts
@@ -2,7 +2,7 @@
  * Datagrams between entries about the limits of backend servers.
  */
 
-import * as peerAddress from '../state/peer-address.js'
+import * as socketAddress from './socket-address.js'
 
 export type LimitMessage = LimitsMessage | PermitDemandMessage | PermitsMessage
 
@@ -52,7 +52,7 @@
   if (kind === 'permits') {
     return typeof fields['service'] === 'string' && isCount(fields['waiting']) && isListOf(fields['permits'], 3)
   }
-  return kind === 'permitDemand' && typeof fields['service'] === 'string' && peerAddress.isPeerAddress(fields['entry']) &&
+  return kind === 'permitDemand' && typeof fields['service'] === 'string' && socketAddress.isSocketAddress(fields['entry']) &&
     isCount(fields['waiting']) && isCount(fields['perSecond']) && isListOf(fields['sent'], 3)
 }
 
--- a/src/protocol/peer-message.ts
+++ b/src/protocol/peer-message.ts
@@ -6,17 +6,17 @@
  */
 
 import * as limitMessages from './limit-messages.js'
-import * as peerAddress from '../state/peer-address.js'
+import * as rankState from '../state/rank-state.js'
+import * as socketAddress from './socket-address.js'
 import type * as backendPool from '../state/backend-pool.js'
 import type * as clusterView from '../state/cluster-view.js'
 import type * as crashSuspects from '../state/crash-suspects.js'
-import type * as rankSwitch from '../state/rank-switch.js'
 
 export type PeerMessage =
   | { kind: 'status', status: clusterView.PeerStatus, known: string[] }
   | LoadMessage
   /** From an agent to the lead of its group. */
-  | { kind: 'rank', group: string, state: rankSwitch.RankState, ageMs: number }
+  | { kind: 'rank', group: string, state: rankState.RankState, ageMs: number }
   /** From the lead of a group to the agents: who leads, and in which term. */
   | { kind: 'lead', group: string, term: number, address: string }
   | CrashMessage
@@ -44,8 +44,6 @@
   ageMs: number
 }
 
-const NAMED_KINDS = new Set<string>(['rank', 'lead', 'leaving'] satisfies PeerMessage['kind'][])
-
 /** Maximum number of peer addresses in one status message, which keeps a datagram below the usual 1,400 bytes. */
 export const MAX_KNOWN_ADDRESSES = 40
 
@@ -63,7 +61,7 @@
     const named = parsed as Partial<PeerMessage> | null
     if (isCrashMessage(named)) return named
     if (limitMessages.isLimitMessage(named)) return named
-    if (named?.kind !== undefined && NAMED_KINDS.has(named.kind)) return named as PeerMessage
+    if (isRankMessage(named) || isLeadMessage(named) || isLeavingMessage(named)) return named
   } catch {
     // Not JSON, so not sent by a process of this system.
   }
@@ -81,6 +79,22 @@
   return typeof request === 'string' && typeof backend === 'string' && isTextList(parts) && isTextList(tried)
 }
 
+type MessageOf<K extends PeerMessage['kind']> = PeerMessage & { kind: K }
+
+function isRankMessage (message: Partial<PeerMessage> | null): message is MessageOf<'rank'> {
+  if (message?.kind !== 'rank') return false
+  return typeof message.group === 'string' && Number.isFinite(message.ageMs) && rankState.isRankState(message.state)
+}
+
+function isLeadMessage (message: Partial<PeerMessage> | null): message is MessageOf<'lead'> {
+  return message?.kind === 'lead' && typeof message.group === 'string' && Number.isSafeInteger(message.term) &&
+    socketAddress.isSocketAddress(message.address)
+}
+
+function isLeavingMessage (message: Partial<PeerMessage> | null): message is MessageOf<'leaving'> {
+  return message?.kind === 'leaving' && typeof message.backendId === 'string' && Number.isFinite(message.startedAtUnixMs)
+}
+
 function isTextList (value: unknown): value is string[] {
   return Array.isArray(value) && value.every(item => typeof item === 'string')
 }
@@ -126,11 +140,11 @@
 function decodeStatus (fields: unknown[]): PeerMessage | undefined {
   const [kind, address, role, failureDomain, state, clientAddress, ...rest] = fields
   const [configurationVersion, era, number, storeEra, rank, known] = rest
-  const isValid = kind === 'status' && peerAddress.isPeerAddress(address) &&
+  const isValid = kind === 'status' && socketAddress.isSocketAddress(address) &&
     [failureDomain, clientAddress].every(text => typeof text === 'string') &&
     (role === 'entry' || role === 'agent') && (state === 'starting' || state === 'ready' || state === 'draining') &&
     [configurationVersion, era, number, storeEra].every(Number.isSafeInteger) &&
-    Array.isArray(rank) && Array.isArray(known) && known.every(peerAddress.isPeerAddress)
+    Array.isArray(rank) && isPeerRank(rank) && Array.isArray(known) && known.every(socketAddress.isSocketAddress)
   if (!isValid) return undefined
   const [group, rankNumber, rankAddress] = rank as [string, number, string]
   return {
@@ -149,3 +163,10 @@
     known: known as string[]
   }
 }
+
+/** Whether fields are empty or the group, number and address of a rank. */
+function isPeerRank (fields: unknown[]): boolean {
+  const [group, rank, address] = fields
+  return fields.length === 0 ||
+    (typeof group === 'string' && Number.isSafeInteger(rank) && socketAddress.isSocketAddress(address))
+}
--- a/src/protocol/rank-call.ts
+++ b/src/protocol/rank-call.ts
@@ -2,7 +2,7 @@
  * Calls of a group's lead to the agents of its ranks, as JSON over HTTP.
  */
 
-import * as peerAddress from '../state/peer-address.js'
+import * as socketAddress from './socket-address.js'
 import type * as countWindow from '../state/count-window.js'
 import type * as mapChanges from '../state/map-changes.js'
 import type * as rankSwitch from '../state/rank-switch.js'
@@ -60,7 +60,7 @@
   const { call, lead } = (value ?? {}) as Partial<SentRankCall>
   if (!isRankCall(call)) return undefined
   const isLead = lead !== undefined && lead !== null && typeof lead.group === 'string' &&
-    Number.isSafeInteger(lead.term) && peerAddress.isPeerAddress(lead.address)
+    Number.isSafeInteger(lead.term) && socketAddress.isSocketAddress(lead.address)
   return { call, lead: isLead ? lead : undefined }
 }
 
@@ -85,5 +85,5 @@
 }
 
 function isAddresses (value: unknown): boolean {
-  return Array.isArray(value) && value.every(peerAddress.isPeerAddress)
+  return Array.isArray(value) && value.every(socketAddress.isSocketAddress)
 }
--- a/src/state/rank-state.ts
+++ b/src/state/rank-state.ts
@@ -18,6 +18,19 @@
   readAtMs: number
 }
 
+/** Whether a message of another process holds the state of a rank. */
+export function isRankState (value: unknown): value is RankState {
+  const state = (value ?? {}) as Partial<RankState>
+  const { rank, epoch, step, mapVersion, preparedVersion, heldStep, armed } = state
+  return [rank, epoch, step, mapVersion].every(Number.isFinite) && Number.isFinite(state.slowdown) &&
+    typeof state.isOpen === 'boolean' && [preparedVersion, heldStep].every(isOptionalNumber) &&
+    (armed === undefined || (armed !== null && Number.isFinite(armed.version) && Number.isFinite(armed.step)))
+}
+
+function isOptionalNumber (value: unknown): boolean {
+  return value === undefined || Number.isFinite(value)
+}
+
 /** Number of ranks up to which the intervals below don't depend on the size of the group. */
 export const TYPICAL_GROUP_SIZE = 12
 /** The state of a rank in a group of typical size is ignored when it is older than this. */
