--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -18,6 +18,7 @@
 import * as peerLinks from '../cluster/peer-links.js'
 import * as sharedDocuments from '../cluster/shared-documents.js'
 import * as tableWatch from '../cluster/table-watch.js'
+import * as blameRecord from './blame-record.js'
 import * as limitGate from './limit-gate.js'
 import * as serveCall from './serve-call.js'
 import * as serviceQueue from './service-queue.js'
@@ -195,6 +196,12 @@
       onChanges: applyRow,
       onAvailable: () => {}
     })
+    blameRecord.keepBlameRecord({
+      ...shared,
+      blamed: () => this.#context.suspects.blamed(),
+      onRecorded: features => { this.#context.suspects.receive({ kind: 'blamed', features }) },
+      isWriter: () => this.#readyEntries().sort()[0] === this.#options.peerAddress
+    })
     tableWatch.watchTable({
       ...shared,
       table: backends,
--- a/src/coordination/gateway/suspect-gate.ts
+++ b/src/coordination/gateway/suspect-gate.ts
@@ -120,6 +120,11 @@
     else crashSuspects.applyBlamed(this.#state, message.features, nowMs)
   }
 
+  /** Features that are blamed now, with the time for which they still are. */
+  blamed (): [feature: string, remainingMs: number][] {
+    return crashSuspects.blamedFeatures(this.#state, this.#options.runtime.nowMs())
+  }
+
   #judge (call: GatedCall): crashSuspects.Verdict {
     if (this.#state.suspects.size === 0) {
       this.leave(call)
@@ -154,7 +159,7 @@
   }
 
   #repeatBlamed (): void {
-    const features = crashSuspects.blamedFeatures(this.#state, this.#options.runtime.nowMs())
+    const features = this.blamed()
     if (features.length > 0) this.#options.broadcast({ kind: 'blamed', features })
   }
 }
