Keep in the store what crashes backend servers

Entries tell each other what they blame, and forget it together when all are killed at once. Change: the first of the ready entries writes what is blamed, with its end, when it changes; each entry reads it once when it has started.

--- a/src/coordination/gateway/blame-record.ts
+++ b/src/coordination/gateway/blame-record.ts
@@ -36,8 +36,11 @@
   const { signal } = options
   let recorded: string | undefined
   while (!signal.aborted) {
-    recorded = recorded === undefined ? await read(options) : await writeChange(options, recorded)
-    const pauseMs = recorded === undefined ? RETRY_MS : CHECK_INTERVAL_MS
+    const result: string | undefined = recorded === undefined
+      ? await read(options)
+      : await writeChange(options, recorded)
+    recorded = result ?? recorded
+    const pauseMs = result === undefined ? RETRY_MS : CHECK_INTERVAL_MS
     await timers.setTimeout(pauseMs, undefined, { signal }).catch(() => {})
   }
 }
@@ -54,15 +57,15 @@
   return summaryOf(features)
 }
 
-/** @returns a summary of the record; the one before when nothing was written. */
+/** @returns a summary of the record; undefined when the store did not take the change. */
 async function writeChange (
   { store, signal, blamed, isWriter }: BlameRecordOptions, recorded: string
-): Promise<string> {
+): Promise<string | undefined> {
   const features = blamed()
   const summary = summaryOf(features)
   if (summary === recorded || !isWriter()) return recorded
   const written = await store.write([{ table: TABLE, partition: '', key: KEY, value: encode(features) }], [], signal)
-  return written.kind === 'ok' ? summary : recorded
+  return written.kind === 'ok' ? summary : undefined
 }
 
 function summaryOf (features: readonly BlamedFeature[]): string {
