Continue the product's streams only with an event stream, too

What callers would see: an error's text in the middle of their stream, or a stream that ends as complete, after the next backend server answered with an error, a 204 or nothing. Cause: an answer of any status continued a broken stream, and an empty one completed it. Change: only status 200 with an event stream continues one on another backend server, and only with an event; else the recovery goes on. The rest of a stream from its own host may be empty: its offset shows that nothing is missing. In the agent: a stream is passed on from the engine's bytes by offset, and a refusal is a 404 with a problem that the entry doesn't take for the stream.

--- /dev/null
+++ b/src/coordination/__tests__/relay.spec.ts
@@ -0,0 +1,63 @@
+import * as http from 'node:http'
+import * as net from 'node:net'
+import * as stream from 'node:stream'
+import * as vitest from 'vitest'
+import * as environment from '../environment.js'
+import * as relay from '../relay.js'
+import type * as call from '../../protocol/call.js'
+import type * as streamRecovery from '../stream-recovery.js'
+
+const FIRST = 'data: one\n\n'
+
+function sourceOf (pieces: (string | Error)[], isContinuation: boolean): streamRecovery.StreamSource {
+  const body = stream.Readable.from((function * () {
+    for (const piece of pieces) {
+      if (piece instanceof Error) throw piece
+      yield Buffer.from(piece)
+    }
+  })())
+  return {
+    server: {} as never,
+    attemptId: 'x',
+    answer: { kind: 'answer', status: 200, headers: { 'content-type': 'text/event-stream' }, body },
+    offsetBytes: 0,
+    isContinuation,
+    finish: () => {}
+  }
+}
+
+/** Relays a stream that breaks off after its first event, and then the next source. */
+async function relayBroken (next: streamRecovery.StreamSource): Promise<{ body: string, isComplete: boolean }> {
+  const env = await environment.createEnvironment({ emit: () => {} }, {} as never)
+  const sources = [next]
+  const server = http.createServer((_request, response) => {
+    const first = sourceOf([FIRST, new Error('reset')], false)
+    relay.relayAnswer(env, { requestId: 'r' } as call.Call, first, response, async () => sources.shift())
+      .catch(() => { response.destroy() })
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as net.AddressInfo
+  const result = await new Promise<{ body: string, isComplete: boolean }>(resolve => {
+    http.get({ host: '127.0.0.1', port, agent: false }, response => {
+      let body = ''
+      response.on('data', (chunk: Buffer) => { body += chunk.toString() })
+      response.on('error', () => {})
+      response.on('close', () => { resolve({ body, isComplete: response.complete }) })
+    })
+  })
+  server.close()
+  return result
+}
+
+vitest.test('a stream that another backend server continues with an event is complete', async () => {
+  vitest.expect(await relayBroken(sourceOf(['data: two\n\n'], true))).toEqual({ body: `${FIRST}data: two\n\n`, isComplete: true })
+})
+
+// Guards against a stream that ends as complete though its rest is missing.
+vitest.test('a stream that another backend server continues with nothing is not complete', async () => {
+  vitest.expect(await relayBroken(sourceOf([], true))).toEqual({ body: FIRST, isComplete: false })
+})
+
+vitest.test('a stream of which its own host has nothing left is complete', async () => {
+  vitest.expect(await relayBroken(sourceOf([], false))).toEqual({ body: FIRST, isComplete: true })
+})
--- a/src/coordination/__tests__/stream-recovery.spec.ts
+++ b/src/coordination/__tests__/stream-recovery.spec.ts
@@ -22,7 +22,9 @@
 vitest.afterEach(() => { vitest.vi.useRealTimers() })
 
 /** Recovers a stream whose agent answers again after `restartMs`; no other backend server accepts the request. */
-async function recoverWith (restartMs: number, status = 200): Promise<{
+async function recoverWith (
+  restartMs: number, status = 200, continued?: Partial<backendClient.BackendAnswer>
+): Promise<{
   source: streamRecovery.StreamSource | undefined, tookMs: number
 }> {
   const real = await environment.createEnvironment({ emit: () => {} }, {} as never)
@@ -39,7 +41,15 @@
     servers: { findOnHost: async () => [] } as unknown as serverTask.ServerTask,
     client,
     dispatcher: {
-      run: async () => outcomes.refuse('no_backend_server', 503, 'may_have_run', 'none')
+      run: async () => continued === undefined
+        ? outcomes.refuse('no_backend_server', 503, 'may_have_run', 'none')
+        : {
+            kind: 'answer',
+            server,
+            attemptId: 'y',
+            finish: () => {},
+            answer: { kind: 'answer', body: stream.Readable.from(['failed\n\n']), ...continued }
+          }
     } as dispatcher.Dispatcher
   })
   const recovered = recovery.recover(request, {
@@ -71,3 +81,21 @@
   vitest.expect(source).toBeUndefined()
   vitest.expect(tookMs).toBeLessThan(100)
 })
+
+// Guards against the text of an error in the middle of a caller's stream, or an empty one that ends it as complete.
+for (const answer of [
+  { status: 404, headers: { 'content-type': 'text/plain' } },
+  { status: 500, headers: { 'content-type': 'text/event-stream' } },
+  { status: 204, headers: {} },
+  { status: 200, headers: { 'content-type': 'application/json' } }
+]) {
+  vitest.test(`an answer of status ${answer.status} and type ${answer.headers['content-type']} continues no stream`, async () => {
+    const { source } = await recoverWith(0, 404, answer)
+    vitest.expect(source).toBeUndefined()
+  })
+}
+
+vitest.test('an event stream of another backend server continues the stream', async () => {
+  const { source } = await recoverWith(0, 404, { status: 200, headers: { 'content-type': 'text/event-stream' } })
+  vitest.expect(source?.attemptId).toBe('y')
+})
--- a/src/coordination/call-handler.ts
+++ b/src/coordination/call-handler.ts
@@ -125,7 +125,8 @@
     for (let brokenAnswers = 0; ; brokenAnswers++) {
       const dispatched = await dispatch(request, raw, signal, earlier)
       if (dispatched.kind === 'refused') return dispatched
-      const relayed = await relay.relayAnswer(env, request, { ...dispatched, offsetBytes: 0 }, response,
+      const source = { ...dispatched, offsetBytes: 0, isContinuation: false }
+      const relayed = await relay.relayAnswer(env, request, source, response,
         broken => parts.recovery.recover(request, broken, signal))
       env.log.emit('requestCompleted', {
         requestId: request.requestId,
@@ -173,7 +174,8 @@
     const ref = { attemptId, agentIncarnation: server.incarnation, agentAddress: server.address }
     const resolved = await parts.sender.resolve(ref, 0, REPLAY_WAIT_MS, signal)
     if (resolved.kind !== 'result') return refusal
-    const relayed = await relay.relayAnswer(env, request, { ...resolved.answer, offsetBytes: 0 }, response,
+    const source = { ...resolved.answer, offsetBytes: 0, isContinuation: false }
+    const relayed = await relay.relayAnswer(env, request, source, response,
       async () => undefined)
     return relayed.kind === 'broken_unsent' ? relayed.refusal : undefined
   }
--- a/src/coordination/relay.ts
+++ b/src/coordination/relay.ts
@@ -101,9 +101,11 @@
       keptBytes += events.length
       if (keptBytes <= MAX_KEPT_BYTES) relayed?.push(events)
     })
-    current.finish(state === 'broken' ? 'failed' : 'answered')
+    // An empty answer of another backend server does not show that the stream was complete.
+    const isComplete = state === 'complete' && !(current.isContinuation && offsetBytes === current.offsetBytes)
+    current.finish(isComplete || state === 'caller_gone' ? 'answered' : 'failed')
     if (state === 'caller_gone') return { kind: 'caller_gone' }
-    if (state === 'complete') {
+    if (isComplete) {
       response.end()
       return { kind: 'relayed' }
     }
--- a/src/coordination/stream-recovery.ts
+++ b/src/coordination/stream-recovery.ts
@@ -20,6 +20,8 @@
   answer: backendClient.BackendAnswer
   /** Offset in the attempt's stream at which the answer starts. */
   offsetBytes: number
+  /** Whether another backend server continues the stream of an earlier attempt. */
+  isContinuation: boolean
   finish: (result: serverTask.AttemptResult) => void
 }
 
@@ -99,6 +101,7 @@
             attemptId: position.attemptId,
             answer,
             offsetBytes: position.offsetBytes,
+            isContinuation: false,
             finish: () => {}
           }
         }
@@ -135,7 +138,17 @@
     if (body === undefined) return undefined
     const dispatched = await parts.dispatcher.run({ ...request, body }, signal, 'may_have_run')
     if (dispatched.kind === 'refused') return undefined
+    if (!isEventStream(dispatched.answer)) {
+      dispatched.answer.body.resume()
+      dispatched.finish('failed')
+      return undefined
+    }
     env.log.emit('streamContinued', { requestId: request.requestId, agentAddress: dispatched.server.address })
-    return { ...dispatched, offsetBytes: 0 }
+    return { ...dispatched, offsetBytes: 0, isContinuation: true }
   }
 }
+
+function isEventStream (answer: backendClient.BackendAnswer): boolean {
+  const contentType = headers.headerValue(answer.headers, 'content-type') ?? ''
+  return answer.status === 200 && contentType.startsWith('text/event-stream')
+}
