Use the rest of a host list that has odd entries

What operators would see: entries and agents of the product stop following the host list while one of its entries is odd. Cause: the list was checked as a whole, so that one entry of another writer made all of it unavailable; addresses and ranks were not checked at all. Odd ones are ignored, with event 3010.

--- a/src/coordination/host-list-reader.ts
+++ b/src/coordination/host-list-reader.ts
@@ -40,6 +40,7 @@
   let dueAtMs = -Infinity
   let readAtMs = -Infinity
   let wasAvailable = true
+  let lastIgnored = ''
   environment.every(CHECK_PERIOD_MS, signal, () => { check().catch(onBroken) })
   return { read }
 
@@ -65,6 +66,9 @@
     if (isAvailable !== wasAvailable) env.log.emit(isAvailable ? 'hostListAvailable' : 'hostListUnavailable')
     wasAvailable = isAvailable
     if (listed.kind === 'ok') {
+      const ignored = listed.ignored?.join(' ') ?? ''
+      if (ignored !== lastIgnored && ignored !== '') env.log.emit('hostListEntriesIgnored', { entries: listed.ignored })
+      lastIgnored = ignored
       parts.onList(listed.value)
       entries = listed.value.filter(host => host.role === 'entry' && host.peerAddress !== parts.self.peerAddress)
       parts.members.post({
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -36,6 +36,7 @@
   hostListUnavailable: { number: 3007, level: 'warn', text: 'the host list cannot be read; the last list is kept' },
   hostListAvailable: { number: 3008, level: 'info', text: 'the host list can be read again' },
   agentLost: { number: 3009, level: 'warn', text: 'no home entry receives reports of the agent any more; it gets no work' },
+  hostListEntriesIgnored: { number: 3010, level: 'warn', text: 'entries of the host list describe no host and are ignored' },
   configurationApplied: { number: 4001, level: 'info', text: 'a configuration change is applied on this process' },
   configurationAccepted: { number: 4002, level: 'info', text: 'a configuration change was accepted' },
   configurationConflict: { number: 4003, level: 'info', text: 'a configuration change conflicts with a newer revision' },
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -82,9 +82,14 @@
   rank?: number
 }
 
+export type HostListResult =
+  /** `ignored`: entries that describe no host, for the log. */
+  | { kind: 'ok', value: ListedHost[], ignored?: readonly string[] }
+  | { kind: 'unavailable', detail: string }
+
 /** The platform's list of hosts, which lags behind changes. */
 export interface HostList {
-  read (signal: AbortSignal): Promise<TableResult<ListedHost[]>>
+  read (signal: AbortSignal): Promise<HostListResult>
 }
 
 export type WeightFetch =
