Forget requests of the retry budget without any retry

What operators would see: the memory of an entry grows with each request while no request is retried. Cause: requests older than the window were dropped only when a retry was asked for. Found in reading the change; the fault is older. Change: noting a request drops those of past windows, many at a time. Result: the new test failed before (10,000 requests kept of 100 s, 2,001 allowed) and passes.

--- a/src/state/__tests__/shared-retry-budget.spec.ts
+++ b/src/state/__tests__/shared-retry-budget.spec.ts
@@ -109,3 +109,10 @@
   expect(sendAll(gateway, 5_000)).toBe(0)
   expect(sendAll(gateway, 10_001)).toBeGreaterThan(30)
 })
+
+// Guards against an entry without retries whose memory grows with each request.
+test('requests are forgotten without any retry', () => {
+  const gateway = startGateway()
+  for (let nowMs = 0; nowMs < 100_000; nowMs += 10) sharedRetryBudget.noteRequest(gateway.budget, gateway.options, nowMs)
+  expect(gateway.budget.requestsAtMs.length).toBeLessThanOrEqual(2 * OPTIONS.windowMs / 10 + 1)
+})
--- a/src/state/shared-retry-budget.ts
+++ b/src/state/shared-retry-budget.ts
@@ -43,6 +43,8 @@
 
 export function noteRequest (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): void {
   budget.requestsAtMs.push(nowMs)
+  // Retries may be rare, so requests are dropped here too, many at a time.
+  if (budget.requestsAtMs[0]! < nowMs - 2 * options.windowMs) dropOldRequests(budget, options, nowMs)
   noteGateways(budget, options, nowMs)
 }
 
@@ -57,7 +59,7 @@
 
 export function budgetUse (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): BudgetUse {
   const fromMs = nowMs - options.windowMs
-  budget.requestsAtMs = budget.requestsAtMs.filter(atMs => atMs >= fromMs)
+  dropOldRequests(budget, options, nowMs)
   for (const grant of budget.grants) {
     if (grant.sentAtMs !== undefined && grant.sentAtMs < fromMs) budget.grants.delete(grant)
   }
@@ -90,6 +92,11 @@
   budget.grants.delete(grant)
 }
 
+function dropOldRequests (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): void {
+  const fromMs = nowMs - options.windowMs
+  budget.requestsAtMs = budget.requestsAtMs.filter(atMs => atMs >= fromMs)
+}
+
 /** Gateways that have left may have used their parts within the window. */
 function noteGateways (budget: SharedRetryBudget, options: BudgetOptions, nowMs: number): void {
   if (options.gateways < budget.gateways && nowMs - budget.gatewaysAtMs <= options.windowMs) return
