Compare the media type of a stream's continuation without its parameters

Cause: a release may add a parameter to the content type, and each stream that broke off during it would have been given up. Found in reading the change. Change: only the media type is compared.

--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -160,7 +160,7 @@
     offers: 0,
     progress: {
       hasHead: false,
-      contentType: undefined,
+      mediaType: undefined,
       lastEventId: call.head.lastEventId,
       events: 0,
       firstEventAtMs: undefined,
--- a/src/coordination/gateway/stream-attempt.ts
+++ b/src/coordination/gateway/stream-attempt.ts
@@ -11,8 +11,8 @@
 /** How much of the stream the client has received. */
 export interface StreamProgress {
   hasHead: boolean
-  /** Content type of the response head that the client has. */
-  contentType: string | undefined
+  /** Media type of the response head that the client has. */
+  mediaType: string | undefined
   lastEventId: number | undefined
   events: number
   firstEventAtMs: number | undefined
@@ -43,8 +43,13 @@
 export function continuationProblem (response: http.IncomingMessage, progress: StreamProgress): string | undefined {
   if (!progress.hasHead) return undefined
   if (response.statusCode !== 200) return `the stream was continued with status ${response.statusCode}`
-  const contentType = response.headers['content-type']
-  return contentType === progress.contentType ? undefined : `the stream was continued with content of type ${contentType}`
+  const mediaType = mediaTypeOf(response)
+  return mediaType === progress.mediaType ? undefined : `the stream was continued with content of type ${mediaType}`
+}
+
+/** Content type without its parameters. */
+function mediaTypeOf (response: http.IncomingMessage): string | undefined {
+  return response.headers['content-type']?.split(';')[0]!.trim().toLowerCase()
 }
 
 /**
@@ -69,7 +74,7 @@
         return
       }
       for (const event of events) {
-        const problem = forwardEvent(event, options, isContinued, source.headers['content-type'])
+        const problem = forwardEvent(event, options, isContinued, mediaTypeOf(source))
         if (problem !== undefined) {
           fail(problem)
           return
@@ -97,7 +102,7 @@
 
 /** Forwards one event to the client. @returns the reason if it can't follow those already forwarded. */
 function forwardEvent (
-  event: eventStream.StreamEvent, options: StreamOptions, isContinued: boolean, contentType: string | undefined
+  event: eventStream.StreamEvent, options: StreamOptions, isContinued: boolean, mediaType: string | undefined
 ): string | undefined {
   const { progress, response } = options
   // Without an id, nothing shows that the event follows those that the client has.
@@ -110,7 +115,7 @@
   if (!progress.hasHead) {
     response.writeHead(options.status, options.headers)
     progress.hasHead = true
-    progress.contentType = contentType
+    progress.mediaType = mediaType
     progress.firstEventAtMs = options.nowMs()
   }
   response.write(event.bytes)
