--- a/src/state/__tests__/shared-retry-budget.spec.ts
+++ b/src/state/__tests__/shared-retry-budget.spec.ts
@@ -113,6 +113,8 @@
 // Guards against an entry without retries whose memory grows with each request.
 test('requests are forgotten without any retry', () => {
   const gateway = startGateway()
-  for (let nowMs = 0; nowMs < 100_000; nowMs += 10) sharedRetryBudget.noteRequest(gateway.budget, gateway.options, nowMs)
+  for (let nowMs = 0; nowMs < 100_000; nowMs += 10) {
+    sharedRetryBudget.noteRequest(gateway.budget, gateway.options, nowMs)
+  }
   expect(gateway.budget.requestsAtMs.length).toBeLessThanOrEqual(2 * OPTIONS.windowMs / 10 + 1)
 })
