--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -8,6 +8,10 @@
 
 export class Store {
   address = ''
+  /** Rises each time that the store comes back from a copy. */
+  #era = 1
+  /** While the store is away, connections to it are reset. */
+  #isAway = false
   #version = 0
   #rows = new Map()
   #history = []
@@ -42,7 +46,31 @@
     for (const wake of [...this.#waiting]) wake()
   }
 
+  /** @returns the state at this moment, from which the store can come back. */
+  copy () {
+    return { version: this.#version, rows: new Map(this.#rows) }
+  }
+
+  goAway () {
+    this.#isAway = true
+    this.#server.closeAllConnections()
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its versions are given out again. */
+  comeBack (copy) {
+    this.#era += 1
+    this.#version = copy.version
+    this.#rows = new Map(copy.rows)
+    this.#history = this.#history.filter(row => row.version <= copy.version)
+    this.#isAway = false
+    for (const wake of [...this.#waiting]) wake()
+  }
+
   async #handle (request, response) {
+    if (this.#isAway) {
+      request.socket.resetAndDestroy()
+      return
+    }
     const url = new URL(request.url, 'http://store')
     const text = await net.readText(request)
     if (text === undefined) return
@@ -62,13 +90,14 @@
 
   async #feed (query, response) {
     const after = Number(query.get('start-revision'))
+    const era = this.#era
     if (after > this.#version) {
       this.#send(response, 410, {})
       return
     }
     const changed = () => this.#history.filter(row => row.table === query.get('table') && row.version > after)
     const endMs = performance.now() + Number(query.get('wait-ms'))
-    while (changed().length === 0 && performance.now() < endMs && !response.destroyed) {
+    while (changed().length === 0 && performance.now() < endMs && !response.destroyed && this.#era === era) {
       await new Promise(resolve => {
         const wake = () => {
           clearTimeout(timer)
@@ -79,7 +108,8 @@
         this.#waiting.add(wake)
       })
     }
-    this.#send(response, 200, { rows: changed().map(encode) })
+    if (this.#era === era) this.#send(response, 200, { rows: changed().map(encode) })
+    else this.#send(response, 410, {})
   }
 
   #transact (body, response) {
@@ -104,7 +134,7 @@
       ...body, 'schema-version': this.#version, 'current-time-ms': Math.round(performance.now())
     })
     response.writeHead(status, {
-      'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text), 'Store-Era': '1'
+      'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text), 'Store-Era': String(this.#era)
     }).end(text)
   }
 }
