--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -31,10 +31,12 @@
     fs.writeFileSync(file, text)
     process.exit(code)
   }
-  const watchdog = setTimeout(() => {
-    note('the case took too long')
+  const giveUp = reason => {
+    note(reason)
     finish()
-  }, MAX_RUN_MS)
+  }
+  const watchdog = setTimeout(() => { giveUp('the case took too long') }, MAX_RUN_MS)
+  for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => { giveUp(`the case got ${signal}`) })
   note(hasTrouble ? 'with the disruption' : 'without the disruption')
   try {
     const breaches = await run({ note, onEnd })
