--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,6 +1,6 @@
 /**
  * A part of a prompt crashes each server that begins to write an answer on it: the first event gets out before the
- * server is gone. The hosts take the first event for proof that the request is sound, and never find the cause.
+ * server is gone. The hosts take the first event for proof that the request is sound, and find the cause late or never.
  */
 
 import * as caseRunner from '../lib/case.mjs'
