Log requests that are in flight when the shutdown time is over

Cause: the log of an entry that exits with requests in flight says nothing of them, so a cut by the end of the shutdown can't be told from a cut by a second signal.

--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -370,6 +370,7 @@
       await timers.setTimeout(20)
     }
     await this.#closeClientServer(endMs)
+    if (this.#inFlight > 0) this.#env.log.emit('drainOverdue', { requests: this.#inFlight })
   }
 
   /**
