Accept during a planned stop what can be answered, and answer all of it before the process exits

What callers saw: requests that were passed on late in a planned stop of an entry were cut without an answer when it exited, also those that may run once; short requests were refused for the last 45% of the shutdown time although they would have been served; requests that waited for a backend server were cut too, though they could be told that they had not run.

Cause: what is accepted was decided by the clock alone (55% of the shutdown time), and the process exited at 94% of it with no word to what was in flight. Class: an obligation (an answer owed) that dies with the process, because accepting it was not tied to its end.

Change: a request is accepted while the time that nearly all requests of its route need, measured on the entry, fits before the last moment to answer, or its deadline comes before it; waiting calls that no longer fit are refused at once; at that moment every open request is answered: 503 where it has not run, else 504; a stream that has begun is cut. Heads of streams name Connection: close too. The pause of a refused client depends on whether another entry is ready. An unexpected error in a request answers 502 and does not only close the connection.

--- a/src/coordination/gateway/__tests__/service-queue.spec.ts
+++ b/src/coordination/gateway/__tests__/service-queue.spec.ts
@@ -88,3 +88,29 @@
   expect(refused).toBe(2)
   expect(queue.waitingCount('s')).toBe(6)
 })
+
+test('a waiting call that a shutdown leaves too little time is refused at once', async () => {
+  await acquire('first')
+  await acquire('second')
+  let latestStartMs = 2_000
+  const waiting = queue.acquire({
+    call: {
+      id: 'waiting',
+      priority: 1,
+      arrivedAtMs: 0,
+      latestTimelyStartMs: 300,
+      latestStartMs,
+      clientDeadlineAtMs: 8_000,
+      isReturning: false
+    },
+    service: 's',
+    excluded: new Set(),
+    tokens: 1,
+    latestStartMs: () => latestStartMs,
+    signal: controller.signal
+  })
+  expect(queue.waitingCount('s')).toBe(1)
+  latestStartMs = -1
+  queue.refreshLatestStarts()
+  expect(await waiting).toMatchObject({ kind: 'refused', reason: 'too_late' })
+})
--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -10,6 +10,7 @@
 import * as backendCall from './backend-call.js'
 import * as wholeResponse from './whole-response.js'
 import * as retries from './retries.js'
+import * as shutdown from './shutdown.js'
 import * as streamAttempt from './stream-attempt.js'
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as call from './call.js'
@@ -112,7 +113,7 @@
       response: request.response,
       connection,
       progress,
-      headers,
+      headers: ctx.shutdown.isDraining ? [...headers, 'Connection', 'close'] : headers,
       status,
       nowMs: ctx.nowMs,
       onEvent: () => {
@@ -164,8 +165,8 @@
   #silentSinceMs: number
   /** Whether an event or a whole response has arrived. */
   hasResponded = false
-  readonly #clientSignal: AbortSignal
-  readonly #onClientGone: () => void
+  readonly #callSignal: AbortSignal
+  readonly #onAborted: () => void
   #silenceTimer: NodeJS.Timeout | undefined
 
   constructor (ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, isRetryAllowed: boolean) {
@@ -180,10 +181,10 @@
     this.#sentAtMs = ctx.nowMs()
     this.#silentSinceMs = this.#sentAtMs
     this.#call = request
-    this.#clientSignal = request.signal
-    this.#onClientGone = () => { this.#stop('client') }
-    if (request.signal.aborted) this.#stop('client')
-    else request.signal.addEventListener('abort', this.#onClientGone, { once: true })
+    this.#callSignal = request.signal
+    this.#onAborted = () => { this.#stop(shutdown.isStopping(request.signal) ? 'deadline' : 'client') }
+    if (request.signal.aborted) this.#onAborted()
+    else request.signal.addEventListener('abort', this.#onAborted, { once: true })
     this.#restartSilenceTimer()
   }
 
@@ -240,7 +241,7 @@
   close (): void {
     clearTimeout(this.#deadlineTimer)
     clearTimeout(this.#silenceTimer)
-    this.#clientSignal.removeEventListener('abort', this.#onClientGone)
+    this.#callSignal.removeEventListener('abort', this.#onAborted)
   }
 
   #stop (reason: StopReason): void {
--- a/src/coordination/gateway/call.ts
+++ b/src/coordination/gateway/call.ts
@@ -28,7 +28,7 @@
   clientDeadlineAtMs: number
   features: crashSuspects.Features
   retries: retries.CallRetries
-  /** Aborted when the client disconnects. */
+  /** Aborted when the client disconnects or the process is about to exit. */
   signal: AbortSignal
 }
 
@@ -62,7 +62,7 @@
   | { kind: 'not_run', reason: string, cause: NotRunCause }
   /** The request may have run; nothing, or only whole events, reached the client. */
   | { kind: 'failed', reason: string, isRetryGranted?: boolean }
-  /** The route's or the client's deadline has passed. */
+  /** The route's or the client's deadline has passed, or the process is about to exit. */
   | { kind: 'timed_out', wasSent: boolean }
   | { kind: 'client_gone' }
 
--- a/src/coordination/gateway/context.ts
+++ b/src/coordination/gateway/context.ts
@@ -10,6 +10,7 @@
 import type * as bufferBudget from '../../transport/buffer-budget.js'
 import type * as limitGate from './limit-gate.js'
 import type * as serviceQueue from './service-queue.js'
+import type * as shutdown from './shutdown.js'
 import type * as suspectGate from './suspect-gate.js'
 
 export interface GatewayContext extends runtime.Runtime {
@@ -23,10 +24,8 @@
   budgetOptions: () => sharedRetryBudget.BudgetOptions
   /** Undefined until the first configuration is loaded. */
   routing: () => routingTable.RoutingTable | undefined
-  /** Whether new requests are refused because the process is about to exit. */
-  isRefusingRequests: () => boolean
-  /** Whether responses ask clients to close their connections. */
-  isDraining: () => boolean
+  /** What the process still accepts when it stops. */
+  shutdown: shutdown.Shutdown
   /** Memory for whole responses of backend servers. */
   responseBuffers: bufferBudget.BufferBudget
   /** Called when a response announced that its backend server leaves. */
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -5,7 +5,6 @@
 
 import * as http from 'node:http'
 import type * as net from 'node:net'
-import * as timers from 'node:timers/promises'
 import * as availability from '../../state/availability.js'
 import * as backendPool from '../../state/backend-pool.js'
 import * as backendTable from '../../state/backend-table.js'
@@ -22,6 +21,7 @@
 import * as limitGate from './limit-gate.js'
 import * as serveCall from './serve-call.js'
 import * as serviceQueue from './service-queue.js'
+import * as shutdown from './shutdown.js'
 import * as suspectGate from './suspect-gate.js'
 import type * as backendInstance from '../../state/backend-instance.js'
 import type * as controlStore from '../../protocol/control-store.js'
@@ -32,10 +32,6 @@
 import type * as runtime from '../runtime.js'
 import type * as context from './context.js'
 
-/** Fraction of the shutdown time in which new requests are accepted, since clients cache addresses for a while. */
-const ACCEPT_SHUTDOWN_FRACTION = 0.55
-/** Fraction of the shutdown time after which the process exits even with requests in flight. */
-const DRAIN_SHUTDOWN_FRACTION = 0.94
 /** Multiple of the address lifetime after which clients have left; some cache an answer three times as long. */
 const CLIENT_LEAVE_LIFETIMES = 3.3
 const MAX_ADDRESSES = 64
@@ -63,8 +59,7 @@
   readonly #limitGate: limitGate.LimitGate
   readonly #context: context.GatewayContext
   #clientServer: http.Server | undefined
-  #drainingSinceMs: number | undefined
-  #inFlight = 0
+  readonly #shutdown: shutdown.Shutdown
 
   constructor (
     options: platformSettings.EntryOptions, adapter: platformAdapter.PlatformAdapter, env: runtime.Runtime,
@@ -108,6 +103,9 @@
       broadcast: message => { this.#peers.broadcast(message, 'entry') },
       signal
     })
+    this.#shutdown = new shutdown.Shutdown({
+      runtime: env, shutdownMs: options.shutdownMs, hasReadyPeer: () => this.#readyEntries().length > 0
+    })
     const recordsSinceMs = options.systemStart === 'first' ? -Infinity : env.nowMs()
     this.#context = {
       ...env,
@@ -137,8 +135,7 @@
         recordsSinceMs
       }),
       routing: () => this.#documents.routing,
-      isRefusingRequests: () => this.#isRefusingRequests(),
-      isDraining: () => this.#drainingSinceMs !== undefined,
+      shutdown: this.#shutdown,
       responseBuffers: bufferBudget.createBudget(options.maxBufferedResponseBytes),
       onLeaving: row => {
         if (this.#noteLeaving(row, 'response')) {
@@ -162,11 +159,8 @@
   async start (): Promise<void> {
     await this.#peers.open()
     this.#clientServer = await this.#listen(this.#options.clientAddress, (request, response) => {
-      this.#inFlight += 1
-      response.once('close', () => { this.#inFlight -= 1 })
       serveCall.serveCall(this.#context, request, response).catch((error: Error) => {
-        // The request may have run, so its client gets no answer.
-        response.destroy()
+        serveCall.endFaultyCall(response)
         this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
       })
     })
@@ -255,7 +249,7 @@
       address: this.#options.peerAddress,
       role: 'entry',
       failureDomain: this.#options.failureDomain,
-      state: this.#drainingSinceMs !== undefined ? 'draining' : this.#documents.routing === undefined ? 'starting' : 'ready',
+      state: this.#shutdown.isDraining ? 'draining' : this.#documents.routing === undefined ? 'starting' : 'ready',
       clientAddress: this.#options.clientAddress,
       configurationVersion: this.#documents.configurationVersion,
       backendRevision: this.#documents.table.revision,
@@ -348,41 +342,15 @@
     return server
   }
 
-  #isRefusingRequests (): boolean {
-    if (this.#drainingSinceMs === undefined) return false
-    return this.#env.nowMs() - this.#drainingSinceMs > this.#options.shutdownMs * ACCEPT_SHUTDOWN_FRACTION
-  }
-
-  /**
-   * Removes this process from the directory, still serves clients with cached addresses, and resolves when nothing is
-   * in flight or the shutdown time is nearly over.
-   */
+  /** Removes this process from the directory, serves clients with cached addresses, and resolves when it may exit. */
   async drain (): Promise<void> {
-    const sinceMs = this.#env.nowMs()
-    this.#drainingSinceMs = sinceMs
+    this.#shutdown.begin()
     this.#peers.sendStatus()
+    this.#context.queue.refreshLatestStarts()
     const clientLeaveMs = Math.min(
       this.#options.addressLifetimeS * 1_000 * CLIENT_LEAVE_LIFETIMES, this.#options.shutdownMs / 2
     )
-    const endMs = sinceMs + this.#options.shutdownMs * DRAIN_SHUTDOWN_FRACTION
-    while (this.#env.nowMs() < endMs) {
-      if (this.#env.nowMs() - sinceMs > clientLeaveMs && this.#inFlight === 0) break
-      await timers.setTimeout(20)
-    }
-    await this.#closeClientServer(endMs)
-    if (this.#inFlight > 0) this.#env.log.emit('drainOverdue', { requests: this.#inFlight })
-  }
-
-  /**
-   * Accepts no further connections and closes idle ones, and waits for those on which a request has begun. Load
-   * pattern: clients with cached addresses still send requests while the process exits, and one that has just been
-   * accepted would be cut off.
-   */
-  async #closeClientServer (endMs: number): Promise<void> {
-    const server = this.#clientServer
-    if (server === undefined) return
-    const closed = new Promise<void>(resolve => { server.close(() => { resolve() }) })
-    await Promise.race([closed, timers.setTimeout(Math.max(0, endMs - this.#env.nowMs()))])
+    await this.#shutdown.finish(this.#clientServer, clientLeaveMs)
   }
 }
 
--- a/src/coordination/gateway/read-body.ts
+++ b/src/coordination/gateway/read-body.ts
@@ -8,10 +8,11 @@
   | { kind: 'body', body: Buffer }
   | { kind: 'too_large' }
   | { kind: 'too_slow' }
-  | { kind: 'client_gone' }
+  | { kind: 'aborted' }
 
+/** @param signal aborted when the client leaves or the process is about to exit. */
 export async function readBody (
-  request: http.IncomingMessage, maxBytes: number, timeoutMs: number
+  request: http.IncomingMessage, maxBytes: number, timeoutMs: number, signal: AbortSignal
 ): Promise<BodyResult> {
   const declaredBytes = Number(request.headers['content-length'] ?? 0)
   if (declaredBytes > maxBytes) return { kind: 'too_large' }
@@ -20,9 +21,11 @@
     let sizeBytes = 0
     const finish = (result: BodyResult): void => {
       clearTimeout(timer)
+      signal.removeEventListener('abort', abort)
       request.removeAllListeners('data')
       resolve(result)
     }
+    const abort = (): void => { finish({ kind: 'aborted' }) }
     const timer = setTimeout(() => { finish({ kind: 'too_slow' }) }, timeoutMs)
     request.on('data', (chunk: Buffer) => {
       sizeBytes += chunk.length
@@ -30,7 +33,9 @@
       else chunks.push(chunk)
     })
     request.on('end', () => { finish({ kind: 'body', body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks) }) })
-    request.on('error', () => { finish({ kind: 'client_gone' }) })
-    request.on('close', () => { finish({ kind: 'client_gone' }) })
+    request.on('error', abort)
+    request.on('close', abort)
+    if (signal.aborted) abort()
+    else signal.addEventListener('abort', abort, { once: true })
   })
 }
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -40,10 +40,11 @@
     this.#recordEnd('failed', { reason, status })
   }
 
-  timedOut (mayHaveRun: boolean): void {
-    if (this.#response.headersSent) this.cut('deadline')
-    else if (mayHaveRun) this.fail(504, 'deadline')
-    else this.refuse('deadline', 0)
+  /** @param reason the deadline of the request, or the end of the process. */
+  timedOut (mayHaveRun: boolean, reason: 'deadline' | 'process_stopping'): void {
+    if (this.#response.headersSent) this.cut(reason)
+    else if (mayHaveRun) this.fail(504, reason)
+    else this.refuse(reason, 0)
   }
 
   /** Closes the connection of a stream that can't continue, so that the client doesn't take it for complete. */
@@ -84,7 +85,7 @@
   }
 
   #write (status: number, headers: string[], body: Buffer, framing: call.BodyFraming = 'length'): void {
-    const isClosing = this.#ctx.isDraining() || framing === 'connection_end'
+    const isClosing = this.#ctx.shutdown.isDraining || framing === 'connection_end'
     const length = framing === 'length' ? ['Content-Length', String(body.length)] : []
     if (framing === 'connection_end') this.#response.useChunkedEncodingByDefault = false
     this.#response.writeHead(status, [...headers, ...(isClosing ? ['Connection', 'close'] : []), ...length])
--- a/src/coordination/gateway/retries.ts
+++ b/src/coordination/gateway/retries.ts
@@ -10,7 +10,7 @@
 const FIRST_RESPONSE_MS = 120
 
 export function hasTimeLeft (ctx: context.GatewayContext, call: { deadlineAtMs: number }): boolean {
-  return call.deadlineAtMs - ctx.nowMs() > FIRST_RESPONSE_MS
+  return Math.min(call.deadlineAtMs, ctx.shutdown.answerByMs) - ctx.nowMs() > FIRST_RESPONSE_MS
 }
 
 interface RetriedCall {
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -7,12 +7,14 @@
 import type * as http from 'node:http'
 import * as routingTable from '../../state/routing-table.js'
 import * as backendPool from '../../state/backend-pool.js'
+import * as serviceTimes from '../../state/service-times.js'
 import * as waitQueue from '../../state/wait-queue.js'
 import * as attempt from './attempt.js'
 import * as callModule from './call.js'
 import * as readBody from './read-body.js'
 import * as retries from './retries.js'
 import * as replies from './reply.js'
+import * as shutdown from './shutdown.js'
 import * as streamAttempt from './stream-attempt.js'
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as crashSuspects from '../../state/crash-suspects.js'
@@ -38,8 +40,7 @@
   const arrivedAtMs = ctx.nowMs()
   const head = ctx.codec.readRequest(request)
   const reply = new replies.Reply(ctx, response, head.attemptId ?? 'none', arrivedAtMs)
-  const clientGone = new AbortController()
-  response.on('close', () => { if (!response.writableFinished) clientGone.abort() })
+  const signal = ctx.shutdown.open(response)
   const routing = ctx.routing()
   if (routing === undefined) {
     // It is unknown when the configuration arrives, and the client may retry only once.
@@ -48,9 +49,9 @@
     return
   }
   const limits = routing.configuration.limits
-  const body = await readBody.readBody(request, limits.maxBodyBytes, remainingMsOf(head))
-  if (body.kind === 'client_gone') {
-    reply.clientGone('before the request was complete')
+  const body = await readBody.readBody(request, limits.maxBodyBytes, remainingMsOf(head), signal)
+  if (body.kind === 'aborted') {
+    endAborted(signal, reply, false, 'before the request was complete')
     return
   }
   if (body.kind === 'too_large') {
@@ -62,15 +63,15 @@
     return
   }
   const admission = admit(ctx, ctx.routing() ?? routing, {
-    request, response, head, body: body.body, arrivedAtMs, signal: clientGone.signal
+    request, response, head, body: body.body, arrivedAtMs, signal
   })
   if (admission.kind === 'rejected') {
     reply.reject(admission.status, admission.reason)
     return
   }
   const { call } = admission
-  if (ctx.isRefusingRequests()) {
-    reply.refuse('process_stopping', 50)
+  if (ctx.shutdown.latestStartMs(call, callModule.expectedServiceMs(call)) < ctx.nowMs()) {
+    reply.refuse('process_stopping', ctx.shutdown.retryAfterMs(call.clientDeadlineAtMs - ctx.nowMs()))
     return
   }
   retries.noteRequest(ctx, call.service)
@@ -81,6 +82,18 @@
   }
 }
 
+/** Ends a request that its client has left, or that is open when the process is about to exit. */
+function endAborted (signal: AbortSignal, reply: replies.Reply, mayHaveRun: boolean, when: string): void {
+  if (shutdown.isStopping(signal)) reply.timedOut(mayHaveRun, 'process_stopping')
+  else reply.clientGone(when)
+}
+
+/** Answers a request whose handling failed with an unexpected error. It may have run. */
+export function endFaultyCall (response: http.ServerResponse): void {
+  if (response.headersSent) response.destroy()
+  else response.writeHead(502, { 'Content-Length': 0, Connection: 'close' }).end()
+}
+
 function remainingMsOf (head: callCodec.CallHead): number {
   return Math.min(head.remainingMs ?? DEFAULT_REMAINING_MS, MAX_REMAINING_MS)
 }
@@ -151,6 +164,10 @@
   lastFailure: string
   /** An error response of a backend server, forwarded if no later attempt succeeds. */
   failedResponse: callModule.WholeResponse | undefined
+  /** Undefined until the first attempt. */
+  timing: serviceTimes.RunningRequest | undefined
+  /** Whether the client has got a whole response. */
+  isDelivered: boolean
 }
 
 async function runCall (ctx: context.GatewayContext, call: callModule.Call, reply: replies.Reply): Promise<void> {
@@ -167,8 +184,21 @@
       lastEventAtMs: undefined
     },
     lastFailure: '',
-    failedResponse: undefined
+    failedResponse: undefined,
+    timing: undefined,
+    isDelivered: false
+  }
+  try {
+    await offerUntilDone(ctx, call, history, reply)
+  } finally {
+    const isWhole = history.isDelivered && call.head.lastEventId === undefined
+    if (history.timing !== undefined) serviceTimes.noteEnded(ctx.shutdown.times, history.timing, isWhole, ctx.nowMs())
   }
+}
+
+async function offerUntilDone (
+  ctx: context.GatewayContext, call: callModule.Call, history: CallHistory, reply: replies.Reply
+): Promise<void> {
   const tokens = call.head.promptTokens +
     (call.engine === undefined ? 0 : callModule.expectedOutputTokens(call.head, call.engine))
   const serviceMs = callModule.expectedServiceMs(call)
@@ -193,11 +223,12 @@
       service: call.service,
       excluded: history.excluded,
       tokens,
+      latestStartMs: () => latestStartMs(ctx, call, history, serviceMs),
       signal: call.signal
     })
     if (placed.kind !== 'placed') ctx.suspects.leave(call)
     if (placed.kind === 'aborted') {
-      reply.clientGone('while the request waited')
+      endAborted(call.signal, reply, history.runs > 0, 'while the request waited')
       return
     }
     if (placed.kind === 'refused') {
@@ -225,9 +256,9 @@
       lastEventId: history.progress.lastEventId
     })
     call.retries.noteSent()
+    history.timing ??= serviceTimes.noteStarted(ctx.shutdown.times, call.route.name, serviceMs, ctx.nowMs())
     const outcome = await attempt.tryBackend(
-      ctx, call, backend, tokens, history.progress, history.runs + 1 < call.route.maxServers,
-      tried
+      ctx, call, backend, tokens, history.progress, history.runs + 1 < call.route.maxServers, tried
     )
     const next = handleOutcome(ctx, call, history, outcome, backend.row.id, reply)
     if (next === 'done') return
@@ -242,7 +273,7 @@
 function latestStartMs (
   ctx: context.GatewayContext, call: callModule.Call, history: CallHistory, serviceMs: number
 ): number {
-  const byDeadlineMs = call.deadlineAtMs - serviceMs
+  const byDeadlineMs = Math.min(call.deadlineAtMs - serviceMs, ctx.shutdown.latestStartMs(call, serviceMs))
   if (!call.route.isStream) return byDeadlineMs
   const lastEventAtMs = history.progress.lastEventAtMs ?? call.arrivedAtMs
   const firstResponseMs = backendPool.firstResponseMs(ctx.pool, call.service)
@@ -269,16 +300,20 @@
   history.offers += 1
   switch (outcome.kind) {
     case 'delivered':
+      history.isDelivered = true
       reply.delivered(outcome.status, call.route, history.progress)
       return 'done'
     case 'client_gone':
       reply.clientGone('while a backend server worked')
       return 'done'
     case 'timed_out':
-      reply.timedOut(outcome.wasSent || history.runs > 0)
+      reply.timedOut(
+        outcome.wasSent || history.runs > 0, shutdown.isStopping(call.signal) ? 'process_stopping' : 'deadline'
+      )
       return 'done'
     case 'response':
       if (outcome.status < 500 && !history.progress.hasHead) {
+        history.isDelivered = true
         reply.forwardResponse(outcome, call.route, history.progress)
         return 'done'
       }
@@ -333,7 +368,7 @@
 function endSuspected (
   call: callModule.Call, history: CallHistory, reply: replies.Reply, result: Exclude<suspectGate.EnterResult, 'open'>
 ): void {
-  if (result === 'aborted') reply.clientGone('while the request waited')
+  if (result === 'aborted') endAborted(call.signal, reply, history.runs > 0, 'while the request waited')
   else if (result === 'too_late') giveUp(call, history, reply, 'suspected', SUSPECTED_RETRY_AFTER_MS)
   else if (history.progress.hasHead) reply.cut('request_crashes_backend_servers')
   else reply.reject(500, 'request_crashes_backend_servers')
--- a/src/coordination/gateway/service-queue.ts
+++ b/src/coordination/gateway/service-queue.ts
@@ -17,6 +17,8 @@
   excluded: ReadonlySet<string>
   /** Sum of prompt and expected output tokens. */
   tokens: number
+  /** Latest start as of now, for a call that waits while a shutdown begins. */
+  latestStartMs?: () => number
   /** Aborted when the client disconnects or the deadline passes. */
   signal: AbortSignal
 }
@@ -137,6 +139,14 @@
     return waitQueue.expectedWaitAtLimitMs(waiting, perSecond)
   }
 
+  /** Called when the process begins to stop. Refuses at once the waiting calls that can't end in time any more. */
+  refreshLatestStarts (): void {
+    for (const waiters of this.#waiting.values()) {
+      for (const waiter of waiters) waiter.latestStartMs = waiter.request.latestStartMs?.() ?? waiter.latestStartMs
+    }
+    this.placeWaiting()
+  }
+
   /** Assigns free slots to waiting requests; called whenever a slot may have become free. */
   placeWaiting (): void {
     for (const [service, waiters] of this.#waiting) if (waiters.length > 0) this.#placeWaitingOf(service, waiters)
--- /dev/null
+++ b/src/coordination/gateway/shutdown.ts
@@ -0,0 +1,112 @@
+/**
+ * Planned stop of a gateway: what it still accepts, when each open request has its answer, and when the process may
+ * exit.
+ */
+
+import * as timers from 'node:timers/promises'
+import * as serviceTimes from '../../state/service-times.js'
+import * as shutdownWindow from '../../state/shutdown-window.js'
+import * as waitQueue from '../../state/wait-queue.js'
+import type * as http from 'node:http'
+import type * as runtime from '../runtime.js'
+import type * as callModule from './call.js'
+
+export interface ShutdownOptions {
+  runtime: runtime.Runtime
+  /** Time from the beginning of the shutdown until the platform kills the process. */
+  shutdownMs: number
+  /** Whether clients that are refused can go to another entry. */
+  hasReadyPeer: () => boolean
+}
+
+/** Why the handling of a request was aborted; the reason of its signal. */
+export type AbortCause = 'client' | 'shutdown'
+
+/** Pause before a refused client tries another entry. */
+const OTHER_ENTRY_RETRY_MS = 50
+const POLL_MS = 20
+
+export class Shutdown {
+  /** Durations of requests at backend servers. */
+  readonly times = serviceTimes.createServiceTimes()
+  readonly #options: ShutdownOptions
+  readonly #open = new Set<AbortController>()
+  #window: shutdownWindow.ShutdownWindow | undefined
+
+  constructor (options: ShutdownOptions) {
+    this.#options = options
+  }
+
+  /** Whether responses ask clients to close their connections. */
+  get isDraining (): boolean {
+    return this.#window !== undefined
+  }
+
+  /** Time at which each open request is answered; Infinity while the process does not stop. */
+  get answerByMs (): number {
+    return this.#window?.answerByMs ?? Infinity
+  }
+
+  /** @returns a signal that is aborted, with an AbortCause, when the client leaves or the shutdown time is over. */
+  open (response: http.ServerResponse): AbortSignal {
+    const controller = new AbortController()
+    this.#open.add(controller)
+    response.once('close', () => {
+      this.#open.delete(controller)
+      if (!response.writableFinished) abort(controller, 'client')
+    })
+    if (this.#options.runtime.nowMs() >= this.answerByMs) abort(controller, 'shutdown')
+    return controller.signal
+  }
+
+  /** Latest time to send a request to a backend server; Infinity while the process does not stop. */
+  latestStartMs (call: Pick<callModule.Call, 'route' | 'deadlineAtMs'>, expectedMs: number): number {
+    if (this.#window === undefined) return Infinity
+    const neededMs = serviceTimes.neededMs(this.times, call.route.name, expectedMs, this.#options.runtime.nowMs())
+    return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, neededMs)
+  }
+
+  /** Pause after which the client of a refused request may retry. */
+  retryAfterMs (remainingMs: number): number {
+    const { hasReadyPeer, runtime: { random } } = this.#options
+    return hasReadyPeer() ? OTHER_ENTRY_RETRY_MS : waitQueue.retryAfterMs(undefined, remainingMs, random())
+  }
+
+  begin (): void {
+    this.#window = shutdownWindow.openWindow(this.#options.shutdownMs, this.#options.runtime.nowMs())
+  }
+
+  /**
+   * Serves requests of clients that have not left yet, and resolves when the process may exit: when they have had time
+   * to leave and nothing is in flight, or when the shutdown time is nearly over.
+   */
+  async finish (server: http.Server | undefined, clientLeaveMs: number): Promise<void> {
+    const { runtime: { nowMs, log } } = this.#options
+    const { startedAtMs, answerByMs, exitByMs } = this.#window!
+    const closed = new AbortController()
+    while (nowMs() < exitByMs && !closed.signal.aborted) {
+      if (nowMs() >= answerByMs) this.#abortOpen()
+      if (this.#open.size === 0 && nowMs() - startedAtMs > clientLeaveMs) {
+        if (server === undefined) break
+        // A connection on which a request has begun stays open until its response is sent.
+        if (server.listening) server.close(() => { closed.abort() })
+        server.closeIdleConnections()
+      }
+      await timers.setTimeout(POLL_MS)
+    }
+    if (this.#open.size > 0) log.emit('drainOverdue', { requests: this.#open.size })
+  }
+
+  #abortOpen (): void {
+    for (const controller of this.#open) abort(controller, 'shutdown')
+  }
+}
+
+function abort (controller: AbortController, cause: AbortCause): void {
+  if (!controller.signal.aborted) controller.abort(cause)
+}
+
+/** Whether a request ends because the process stops, and not because its client has left. */
+export function isStopping (signal: AbortSignal): boolean {
+  return signal.aborted && signal.reason === ('shutdown' satisfies AbortCause)
+}
