entry: nothing runs behind a final response on a connection

Cause: clientError answered on a connection without regard to its state. After a pause of the process the timer for late heads is handled before the bytes in the socket: the client got 408 ("not run and never will") and the request was read on and run. A refusal of a second request was written while the first one was served, and taken for its answer; and requests behind a response with Connection: close were passed on and then closed without an answer.

Change: src/transport/client-connections.ts. One request of a connection is served at a time; what arrives after a final response is dropped; a refusal waits for the responses before it. A late head or an idle time is decided only after one turn in which waiting bytes are read: a request that lies in the socket is served. A connection that was opened ahead gets the idle time and is closed without an answer. A client that doesn't close after a refusal is closed after a second.

--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -3,8 +3,7 @@
  * the store and the other processes.
  */
 
-import * as http from 'node:http'
-import type * as net from 'node:net'
+import type * as http from 'node:http'
 import * as timers from 'node:timers/promises'
 import * as availability from '../../state/availability.js'
 import * as backendPool from '../../state/backend-pool.js'
@@ -13,6 +12,7 @@
 import * as feedSchedule from '../../state/feed-schedule.js'
 import * as peerSchedule from '../../state/peer-schedule.js'
 import * as bufferBudget from '../../transport/buffer-budget.js'
+import * as clientConnections from '../../transport/client-connections.js'
 import * as metricsServer from '../../transport/metrics-server.js'
 import * as membershipRow from '../cluster/membership-row.js'
 import * as peerLinks from '../cluster/peer-links.js'
@@ -332,10 +332,9 @@
   async #listen (
     address: string, handler: (request: http.IncomingMessage, response: http.ServerResponse) => void
   ): Promise<http.Server> {
-    const server = http.createServer({
+    const server = clientConnections.createServer({
       maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000, requestTimeout: 0, noDelay: true
     }, handler)
-    server.on('clientError', rejectMalformed)
     const [host, port] = address.split(':')
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
@@ -384,15 +383,3 @@
     await Promise.race([closed, timers.setTimeout(Math.max(0, endMs - this.#env.nowMs()))])
   }
 }
-
-/** Answers a malformed request with a complete response and closes the connection. */
-function rejectMalformed (error: NodeJS.ErrnoException, socket: net.Socket): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy()
-    return
-  }
-  const status = error.code === 'HPE_HEADER_OVERFLOW'
-    ? '431 Request Header Fields Too Large'
-    : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request'
-  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-}
--- /dev/null
+++ b/src/transport/client-connections.ts
@@ -0,0 +1,171 @@
+/**
+ * HTTP/1.1 server whose connections carry one request at a time. Nothing that arrives behind a final response is
+ * served, since that response tells the client that the connection ends there.
+ */
+
+import * as http from 'node:http'
+import type * as net from 'node:net'
+
+export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void
+
+/** Why the server itself refuses what arrives on a connection. */
+export type ConnectionFault = 'too_slow' | 'head_too_large' | 'malformed'
+
+/** Time for a client to read the last response before its connection is closed with bytes that were not read. */
+const LINGER_MS = 1_000
+
+/** @param refusalOf the whole response to a request that can't be read; it states `Connection: close`. */
+export function createServer (
+  options: http.ServerOptions, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string = bareRefusal
+): http.Server {
+  const server = http.createServer(options)
+  const connections = new WeakMap<net.Socket, ClientConnection>()
+  server.on('connection', socket => { connections.set(socket, new ClientConnection(server, socket, handler, refusalOf)) })
+  server.on('request', (request, response) => { connections.get(request.socket)?.receive({ request, response }) })
+  server.on('timeout', socket => { connections.get(socket)?.noteIdle() })
+  server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
+    if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') connections.get(socket)?.noteSlow()
+    else if (error.code === 'ECONNRESET') socket.destroy()
+    else connections.get(socket)?.refuse(error.code === 'HPE_HEADER_OVERFLOW' ? 'head_too_large' : 'malformed')
+  })
+  return server
+}
+
+const STATUS_LINES: Record<ConnectionFault, string> = {
+  too_slow: '408 Request Timeout',
+  head_too_large: '431 Request Header Fields Too Large',
+  malformed: '400 Bad Request'
+}
+
+/** A response that states `Connection: close`. */
+export function refusal (fault: ConnectionFault, contentType: string | undefined, body: string): string {
+  return [
+    `HTTP/1.1 ${STATUS_LINES[fault]}`,
+    ...(contentType === undefined ? [] : [`Content-Type: ${contentType}`]),
+    'Connection: close',
+    `Content-Length: ${Buffer.byteLength(body)}`,
+    '',
+    body
+  ].join('\r\n')
+}
+
+function bareRefusal (fault: ConnectionFault): string {
+  return refusal(fault, undefined, '')
+}
+
+interface Exchange {
+  request: http.IncomingMessage
+  response: http.ServerResponse
+}
+
+class ClientConnection {
+  readonly #server: http.Server
+  readonly #socket: net.Socket
+  readonly #handler: RequestHandler
+  readonly #refusalOf: (fault: ConnectionFault) => string
+  readonly #openedAtMs = performance.now()
+  /** The request that is being served. */
+  #current: Exchange | undefined
+  /** Requests that were sent before the response to an earlier one. */
+  readonly #waiting: Exchange[] = []
+  /** The request whose head was read last. */
+  #latest: Exchange | undefined
+  /** What is sent once the requests before the fault are answered. */
+  #lastWords: string | undefined
+  #timer: NodeJS.Timeout | undefined
+
+  constructor (
+    server: http.Server, socket: net.Socket, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string
+  ) {
+    this.#server = server
+    this.#socket = socket
+    this.#handler = handler
+    this.#refusalOf = refusalOf
+    socket.once('close', () => { clearTimeout(this.#timer) })
+  }
+
+  receive (exchange: Exchange): void {
+    if (this.#lastWords !== undefined || !this.#socket.writable) {
+      exchange.request.resume()
+      return
+    }
+    this.#latest = exchange
+    if (this.#current === undefined) this.#serve(exchange)
+    else this.#waiting.push(exchange)
+  }
+
+  #serve (exchange: Exchange): void {
+    this.#current = exchange
+    exchange.response.once('close', () => {
+      this.#current = undefined
+      this.#serveNext()
+    })
+    this.#handler(exchange.request, exchange.response)
+  }
+
+  #serveNext (): void {
+    // A response with `Connection: close` has ended the connection.
+    const next = this.#socket.writable ? this.#waiting.shift() : undefined
+    if (next !== undefined) this.#serve(next)
+    else if (this.#lastWords !== undefined) this.#end(this.#lastWords)
+  }
+
+  /** Answers what can't be read, after the requests before it, and closes the connection. */
+  refuse (fault: ConnectionFault): void {
+    if (this.#lastWords !== undefined || !this.#socket.writable) return
+    this.#lastWords = this.#refusalOf(fault)
+    const latest = this.#latest
+    if (latest !== undefined && !latest.request.complete) {
+      // The fault is in the body of this request.
+      if (this.#waiting.at(-1) === latest) this.#waiting.pop()
+      else if (latest.response.headersSent) this.#lastWords = ''
+      else {
+        this.#end(this.#lastWords)
+        return
+      }
+    }
+    if (this.#current === undefined) this.#end(this.#lastWords)
+  }
+
+  #end (lastWords: string): void {
+    if (!this.#socket.writable) return
+    this.#socket.end(lastWords)
+    this.#latest?.request.resume()
+    this.#setTimer(LINGER_MS, () => { this.#socket.destroy() })
+  }
+
+  /**
+   * A head or a body is not complete in time. Load pattern: after a pause of the process, timers run before the bytes
+   * are read that have arrived meanwhile.
+   */
+  noteSlow (latest = this.#latest): void {
+    const bytesBefore = this.#socket.bytesRead
+    const wasComplete = latest?.request.complete ?? true
+    setImmediate(() => {
+      if (this.#latest !== latest || (latest?.request.complete ?? true) !== wasComplete) return
+      if (this.#socket.bytesRead === 0) this.#closeUnused()
+      else if (this.#socket.bytesRead !== bytesBefore || this.#waiting.length > 0) {
+        this.#setTimer(this.#server.headersTimeout, () => { this.noteSlow(latest) })
+      } else this.refuse('too_slow')
+    })
+  }
+
+  /** Closes a connection that was opened ahead as late as one that has carried a request. */
+  #closeUnused (): void {
+    const remainingMs = this.#openedAtMs + this.#server.keepAliveTimeout - performance.now()
+    if (remainingMs > 0) this.#setTimer(remainingMs, () => { this.noteIdle() })
+    else this.#socket.destroy()
+  }
+
+  noteIdle (): void {
+    const bytesBefore = this.#socket.bytesRead
+    setImmediate(() => {
+      if (this.#current === undefined && this.#socket.bytesRead === bytesBefore) this.#socket.destroy()
+    })
+  }
+
+  #setTimer (delayMs: number, onTimeout: () => void): void {
+    clearTimeout(this.#timer)
+    this.#timer = setTimeout(onTimeout, delayMs).unref()
+  }
+}
