http server: nothing runs behind a final response on a connection

A late head (after a pause) or a body that took longer than Node's requestTimeout got 408 with outcome not_run and was read on and run; a malformed request behind one that runs was answered in its place.

The time of a body is limited by readBody (60 s as before), whose callers answer 408 with Connection: close; Node's requestTimeout, which knows nothing of the handler, is off. The rest of a body that nobody reads is discarded for at most 30 s. An agent names a body that is too large as such, and not as an invalid attempt id.

--- a/src/coordination/backend-gate.ts
+++ b/src/coordination/backend-gate.ts
@@ -94,9 +94,9 @@
     if (id !== undefined) response.setHeader(headers.agentHeaders.attempt, attemptId)
     const body = await httpServer.readBody(request, MAX_BODY_BYTES)
     if (body.kind === 'aborted') return
-    const refusal = id === undefined || body.kind !== 'ok'
+    const refusal = id === undefined
       ? outcomes.refuse('invalid_request', 400, 'not_run', `${headers.agentHeaders.attempt}: expected an attempt id`)
-      : begin(request, id)
+      : body.kind !== 'ok' ? httpServer.bodyRefusal(body, MAX_BODY_BYTES) : begin(request, id)
     if (refusal !== undefined || id === undefined || body.kind !== 'ok') {
       if (refusal !== undefined) {
         env.log.emit('attemptRefused', { requestId, attemptId, reason: refusal.reason, outcome: refusal.outcome })
--- a/src/coordination/call-handler.ts
+++ b/src/coordination/call-handler.ts
@@ -71,9 +71,7 @@
     }
     const body = await httpServer.readBody(request, MAX_BODY_BYTES)
     if (body.kind === 'aborted') return
-    if (body.kind === 'too_large') {
-      return fail(outcomes.refuse('too_large', 413, 'not_run', `body: exceeds ${MAX_BODY_BYTES} bytes`))
-    }
+    if (body.kind !== 'ok') return fail(httpServer.bodyRefusal(body, MAX_BODY_BYTES))
     const parsed = call.parseCall({
       requestId, method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, body: body.body
     }, team, env.nowMs())
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -333,7 +333,7 @@
     address: string, handler: (request: http.IncomingMessage, response: http.ServerResponse) => void
   ): Promise<http.Server> {
     const server = clientConnections.createServer({
-      maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000, requestTimeout: 0, noDelay: true
+      maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000, noDelay: true
     }, handler)
     const [host, port] = address.split(':')
     await new Promise<void>((resolve, reject) => {
--- a/src/coordination/operator-api.ts
+++ b/src/coordination/operator-api.ts
@@ -96,7 +96,8 @@
     kind: 'template' | 'team', name: string, request: http.IncomingMessage
   ): Promise<configuration.ValidationResult | outcomes.Refusal> {
     const body = await httpServer.readBody(request, MAX_DOCUMENT_BYTES)
-    if (body.kind !== 'ok') return outcomes.refuse('too_large', 413, 'not_run', `body: exceeds ${MAX_DOCUMENT_BYTES} bytes`)
+    if (body.kind === 'aborted') return outcomes.refuse('invalid_request', 400, 'not_run', 'body: broke off')
+    if (body.kind !== 'ok') return httpServer.bodyRefusal(body, MAX_DOCUMENT_BYTES)
     const document = parseJson(body.body)
     if (document.kind === 'invalid') return outcomes.refuse('invalid_request', 400, 'not_run', 'body: expected JSON')
     return parts.configuration.read(copy => configuration.validateDocument(kind, name, document.value, copy))
--- a/src/coordination/operator-endpoints.ts
+++ b/src/coordination/operator-endpoints.ts
@@ -47,7 +47,8 @@
 
   async function announceStop (scope: stops.StopScope, name: string): Promise<EndpointResult> {
     const body = await httpServer.readBody(request, MAX_BODY_BYTES)
-    if (body.kind !== 'ok') return outcomes.refuse('too_large', 413, 'not_run', `body: exceeds ${MAX_BODY_BYTES} bytes`)
+    if (body.kind === 'aborted') return invalid('body: broke off')
+    if (body.kind !== 'ok') return httpServer.bodyRefusal(body, MAX_BODY_BYTES)
     const input = parseStopBody(body.body)
     if (input === undefined) return invalid('body: expected JSON with reason (text) and confirmOverload (true or false)')
     const result = await parts.stops.announce({
--- a/src/protocol/problem.ts
+++ b/src/protocol/problem.ts
@@ -74,6 +74,8 @@
     [headers.callerHeaders.requestId]: requestId,
     [headers.callerHeaders.outcome]: refusal.outcome,
     [headers.callerHeaders.reason]: refusal.reason,
+    // What comes of a body after the refusal is not read.
+    ...(refusal.status === 408 ? { connection: 'close' } : {}),
     // The header is in whole seconds; rounding up keeps callers from retrying too early.
     ...(refusal.retryAfterMs === undefined ? {} : { 'retry-after': String(Math.ceil(refusal.retryAfterMs / 1000)) })
   })
--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -14,11 +14,15 @@
 /** Time for a client to read the last response before its connection is closed with bytes that were not read. */
 const LINGER_MS = 1_000
 
+/** Time in which the rest of a body is discarded that the handler didn't read. */
+const UNREAD_BODY_MS = 30_000
+
 /** @param refusalOf the whole response to a request that can't be read; it states `Connection: close`. */
 export function createServer (
   options: http.ServerOptions, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string = bareRefusal
 ): http.Server {
-  const server = http.createServer(options)
+  // Handlers limit the time of a body, since only they know whether its request has been passed on.
+  const server = http.createServer({ ...options, requestTimeout: 0 })
   const connections = new WeakMap<net.Socket, ClientConnection>()
   server.on('connection', socket => { connections.set(socket, new ClientConnection(server, socket, handler, refusalOf)) })
   server.on('request', (request, response) => { connections.get(request.socket)?.receive({ request, response }) })
@@ -99,6 +103,7 @@
     exchange.response.once('close', () => {
       this.#current = undefined
       this.#serveNext()
+      if (!exchange.request.complete) this.#setTimer(UNREAD_BODY_MS, () => { this.#closeUnread(exchange.request) })
     })
     this.#handler(exchange.request, exchange.response)
   }
@@ -134,17 +139,20 @@
     this.#setTimer(LINGER_MS, () => { this.#socket.destroy() })
   }
 
+  #closeUnread (request: http.IncomingMessage): void {
+    if (!request.complete) this.#socket.destroy()
+  }
+
   /**
-   * A head or a body is not complete in time. Load pattern: after a pause of the process, timers run before the bytes
+   * A head is not complete in time. Load pattern: after a pause of the process, timers run before the bytes
    * are read that have arrived meanwhile.
    */
   noteSlow (latest = this.#latest): void {
     const bytesBefore = this.#socket.bytesRead
-    const wasComplete = latest?.request.complete ?? true
     setImmediate(() => {
-      if (this.#latest !== latest || (latest?.request.complete ?? true) !== wasComplete) return
+      if (this.#latest !== latest) return
       if (this.#socket.bytesRead === 0) this.#closeUnused()
-      else if (this.#socket.bytesRead !== bytesBefore || this.#waiting.length > 0) {
+      else if (this.#socket.bytesRead !== bytesBefore) {
         this.#setTimer(this.#server.headersTimeout, () => { this.noteSlow(latest) })
       } else this.refuse('too_slow')
     })
