client connections: a client that leaves within its next request is seen

Cause: since refusals wait for the responses before them, a client that closes its connection within its next request was noticed only when the response was written; its work went on.

Change: the end of the client's direction closes the connection while a response is owed, whatever was read before. A client that only half-closes is therefore not answered, as before: the two look the same.

--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -85,6 +85,7 @@
     this.#socket = socket
     this.#handler = handler
     this.#refusalOf = refusalOf
+    socket.once('end', () => { this.#noteClientEnd() })
     socket.once('close', () => { clearTimeout(this.#timer) })
   }
 
@@ -132,6 +133,11 @@
     if (this.#current === undefined) this.#end(this.#lastWords)
   }
 
+  /** A client that has left looks like one that has closed only its own direction; work for the former has to end. */
+  #noteClientEnd (): void {
+    if (this.#current?.response.writableEnded === false) this.#socket.destroy()
+  }
+
   #end (lastWords: string): void {
     if (!this.#socket.writable) return
     this.#socket.end(lastWords)
