agent: a malformed call does not answer the one before it

Cause: Node's own answer to input that it can't parse was written while an earlier call on the connection was carried out, and was taken for its answer.

--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -3,12 +3,14 @@
  * group's lead, and leads the group itself when elected.
  */
 
-import * as http from 'node:http'
+import type * as http from 'node:http'
 import * as timers from 'node:timers/promises'
 import * as clusterView from '../../state/cluster-view.js'
 import * as rankState from '../../state/rank-state.js'
 import * as revision from '../../state/revision.js'
 import * as rankCall from '../../protocol/rank-call.js'
+import * as clientConnections from '../../transport/client-connections.js'
+import * as httpServer from '../../transport/http-server.js'
 import * as metricsServer from '../../transport/metrics-server.js'
 import * as membershipRow from '../cluster/membership-row.js'
 import * as peerLinks from '../cluster/peer-links.js'
@@ -320,7 +322,7 @@
   }
 
   async #listen (): Promise<void> {
-    const server = http.createServer({ noDelay: true }, (request, response) => {
+    const server = clientConnections.createServer({ noDelay: true }, (request, response) => {
       this.#handleRequest(request, response).catch((error: Error) => {
         response.destroy()
         this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
@@ -350,15 +352,10 @@
 }
 
 async function readCall (request: http.IncomingMessage): Promise<rankCall.SentRankCall | undefined> {
-  const chunks: Buffer[] = []
-  let size = 0
+  const body = await httpServer.readBody(request, MAX_CALL_BYTES)
+  if (body.kind !== 'ok') return undefined
   try {
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-      size += chunk.length
-      if (size > MAX_CALL_BYTES) return undefined
-      chunks.push(chunk)
-    }
-    return rankCall.parseRankCall(JSON.parse(Buffer.concat(chunks).toString('utf8')))
+    return rankCall.parseRankCall(JSON.parse(body.body.toString('utf8')))
   } catch {
     return undefined
   }
