--- a/src/coordination/__tests__/relay.spec.ts
+++ b/src/coordination/__tests__/relay.spec.ts
@@ -28,10 +28,14 @@
 
 /** Relays a stream that breaks off after its first event, and then the next source. */
 async function relayBroken (next: streamRecovery.StreamSource): Promise<{ body: string, isComplete: boolean }> {
+  return await relayAll(sourceOf([FIRST, new Error('reset')], false), [next])
+}
+
+async function relayAll (
+  first: streamRecovery.StreamSource, sources: streamRecovery.StreamSource[]
+): Promise<{ body: string, isComplete: boolean }> {
   const env = await environment.createEnvironment({ emit: () => {} }, {} as never)
-  const sources = [next]
   const server = http.createServer((_request, response) => {
-    const first = sourceOf([FIRST, new Error('reset')], false)
     relay.relayAnswer(env, { requestId: 'r' } as call.Call, first, response, async () => sources.shift())
       .catch(() => { response.destroy() })
   })
@@ -61,3 +65,13 @@
 vitest.test('a stream of which its own host has nothing left is complete', async () => {
   vitest.expect(await relayBroken(sourceOf([], false))).toEqual({ body: FIRST, isComplete: true })
 })
+
+// Guards against a part of a large answer that passes as the whole.
+vitest.test('a large answer that breaks off after its head was sent is not complete', async () => {
+  const piece = 'x'.repeat(600_000)
+  const source = sourceOf([piece, piece, new Error('reset')], false)
+  source.answer.headers = { 'content-type': 'text/plain' }
+  const { body, isComplete } = await relayAll(source, [])
+  vitest.expect(body.length).toBeGreaterThan(0)
+  vitest.expect(isComplete).toBe(false)
+})
--- a/src/transport/__tests__/http-server.spec.ts
+++ b/src/transport/__tests__/http-server.spec.ts
@@ -108,3 +108,38 @@
   expect([client.statuses(), ran]).toEqual([[408], []])
   await vitest.vi.waitFor(() => { expect(client.isClosed()).toBe(true) })
 })
+
+async function openConnections (): Promise<number> {
+  return await new Promise((resolve, reject) => {
+    listening.server.getConnections((error, count) => { error === null ? resolve(count) : reject(error) })
+  })
+}
+
+test('a client that does not close after a refusal is closed', async () => {
+  const client = connect()
+  client.socket.write('no request\r\n\r\n')
+  await vitest.vi.waitFor(() => { expect(client.statuses()).toEqual([400]) })
+  await vitest.vi.waitFor(async () => { expect(await openConnections()).toBe(0) }, { timeout: 3_000 })
+})
+
+test('a client that does not send the rest of a body that was refused is closed', async () => {
+  listening.server.keepAliveTimeout = 0
+  const client = connect()
+  vitest.vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout'] })
+  try {
+    client.socket.write('POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n\r\nstart')
+    await vitest.vi.waitUntil(() => client.statuses().length > 0)
+    expect(client.statuses()).toEqual([413])
+    await vitest.vi.advanceTimersByTimeAsync(30_000)
+  } finally {
+    vitest.vi.useRealTimers()
+  }
+  await vitest.vi.waitFor(() => { expect(client.isClosed()).toBe(true) })
+})
+
+test('a request is served on a connection whose last body was refused and is complete', async () => {
+  const client = connect()
+  client.socket.write(`POST /large HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n\r\n${'x'.repeat(4_000)}${post('/next')}`)
+  await vitest.vi.waitFor(() => { expect(client.statuses()).toEqual([413, 200]) })
+  expect(ran).toEqual(['/next'])
+})
