signals: one owner of signals and of the life of a process

Cause: run.ts and platform-run.ts each set handlers with process.once, late in the start. A second SIGTERM took its default action and ended the process with requests in flight; SIGHUP ended the product's programs always, and the platform's before their handlers stood, as did SIGTERM.

Change: thin programs set the handlers in their first statement and load the rest then (early-signals.ts). process-stage.ts decides for each stage what a signal or a fault does, process-lifecycle.ts binds it to the process, both for the product and the platform. Later signals never shorten a drain, except SIGINT from a terminal. SIGHUP and SIGUSR2 end no process. SIGTERM during the start ends with 0. Event 1006 tells of each signal with its stage and effect. An exception outside of any request still ends the process with 1, and first finishes what is in flight, within 2 s: a fault has as a rule no part in requests that are already at their backend servers.

Tests, on: 8 requests at an entry got no answer after a second SIGTERM, four of them, SIGINT, and an exception; the process ended by the signal at 30 to 200 ms of the start for SIGHUP and SIGTERM, all four programs; streams were cut at the product's entry and agent. All pass now. The upper bound of 2 s after an exception held before too.

--- a/bench/policy-entry.ts
+++ b/bench/policy-entry.ts
@@ -5,6 +5,7 @@
  */
 
 import * as baselines from './routing-baselines.js'
+import * as earlySignals from '../src/bin/early-signals.js'
 import * as run from '../src/bin/run.js'
 import * as entry from '../src/coordination/entry.js'
 import * as route from '../src/state/route.js'
@@ -111,4 +112,4 @@
       drain: running.drain
     }
   }
-})
+}, earlySignals.holdSignals())
--- a/playground/process-runner.ts
+++ b/playground/process-runner.ts
@@ -7,16 +7,22 @@
 import * as readline from 'node:readline'
 import * as url from 'node:url'
 
-export interface RunningProcess {
+export interface LaunchedProcess {
   name: string
   pid: number
-  /** Fields of the ready line. */
-  ready: Record<string, unknown>
   /** Last MAX_LINES lines of output, parsed where they are JSON. */
   lines: Record<string, unknown>[]
+  /** Exit code; null if a signal ended the process. */
   exited: Promise<number | null>
   hasExited: () => boolean
   kill: (signal: NodeJS.Signals) => void
+  /** Fields of the ready line. */
+  whenReady: Promise<Record<string, unknown>>
+}
+
+export interface RunningProcess extends LaunchedProcess {
+  /** Fields of the ready line. */
+  ready: Record<string, unknown>
 }
 
 const DIST = path.resolve(path.dirname(url.fileURLToPath(import.meta.url)), '..')
@@ -36,14 +42,31 @@
  * @throws if the program ends or is not ready in time, with the end of its error output.
  */
 export async function startProcess (
-  name: string, program: string, args: string[], sourceAddress = '', nodeFlags: readonly string[] = []
+  name: string, program: string, args: string[], sourceAddress = '', nodeFlags: readonly string[] = [],
+  env: Record<string, string> = {}
 ): Promise<RunningProcess> {
-  const flags = sourceAddress === '' ? [] : ['--import', url.pathToFileURL(path.join(PROGRAM_ROOT, SOURCE_MODULE)).href]
-  const child = childProcess.spawn(process.execPath, [
-    ...nodeFlags, ...flags, path.join(PROGRAM_ROOT, program), ...args
-  ], {
+  const flags = sourceAddress === '' ? [] : preloadFlags(SOURCE_MODULE)
+  const allEnv = { SOURCE_ADDRESS: sourceAddress, ...env }
+  const launched = launchProcess(name, program, args, [...nodeFlags, ...flags], allEnv)
+  const ready = await launched.whenReady.catch((error: unknown) => {
+    launched.kill('SIGKILL')
+    throw error
+  })
+  return { ...launched, ready }
+}
+
+/** Flags of the runtime that load a module of the build output before the program. */
+export function preloadFlags (module: string): string[] {
+  return ['--import', url.pathToFileURL(path.join(PROGRAM_ROOT, module)).href]
+}
+
+/** Starts a program and doesn't wait for it; `whenReady` rejects if it ends first or is not ready in time. */
+export function launchProcess (
+  name: string, program: string, args: string[], nodeFlags: readonly string[] = [], env: Record<string, string> = {}
+): LaunchedProcess {
+  const child = childProcess.spawn(process.execPath, [...nodeFlags, path.join(PROGRAM_ROOT, program), ...args], {
     stdio: ['ignore', 'pipe', 'pipe'],
-    env: { PATH: process.env['PATH'], SOURCE_ADDRESS: sourceAddress }
+    env: { PATH: process.env['PATH'], ...env }
   })
   const lines: Record<string, unknown>[] = []
   let errorText = ''
@@ -55,7 +78,7 @@
       resolve(code)
     })
   })
-  const ready = await new Promise<Record<string, unknown>>((resolve, reject) => {
+  const whenReady = new Promise<Record<string, unknown>>((resolve, reject) => {
     const timer = setTimeout(() => reject(new Error(`${name} is not ready after ${READY_TIMEOUT_MS} ms: ${errorText}`)), READY_TIMEOUT_MS)
     child.once('exit', code => {
       clearTimeout(timer)
@@ -70,18 +93,17 @@
         resolve(parsed)
       }
     })
-  }).catch((error: unknown) => {
-    child.kill('SIGKILL')
-    throw error
   })
+  // A caller that waits only for the exit isn't interested in it.
+  whenReady.catch(() => {})
   return {
     name,
     pid: child.pid!,
-    ready,
     lines,
     exited,
     hasExited: () => hasExited,
-    kill: signal => { if (!hasExited) child.kill(signal) }
+    kill: signal => { if (!hasExited) child.kill(signal) },
+    whenReady
   }
 }
 
--- a/src/bin/bulrush-agent.ts
+++ b/src/bin/bulrush-agent.ts
@@ -1,14 +1,7 @@
 #!/usr/bin/env node
-import * as run from './run.js'
-import * as agent from '../coordination/agent.js'
+import * as earlySignals from './early-signals.js'
 
-await run.runProgram({
-  name: 'bulrush-agent',
-  description: 'Admits requests to one backend server and reports its load.',
-  settings: agent.agentSettings,
-  start: async (options, env, signal, onFatalError) => {
-    const running = await agent.startAgent(options, env, signal, onFatalError)
-    const { identity, listening, peerListening, drain } = running
-    return { fields: { ...identity, listening, peerListening }, drain }
-  }
-})
+// Handlers stand before the rest is loaded, which takes most of the start.
+const signals = earlySignals.holdSignals()
+const main = await import('./agent-main.js')
+await main.run(signals)
--- a/src/bin/bulrush-entry.ts
+++ b/src/bin/bulrush-entry.ts
@@ -1,16 +1,7 @@
 #!/usr/bin/env node
-import * as run from './run.js'
-import * as entry from '../coordination/entry.js'
+import * as earlySignals from './early-signals.js'
 
-await run.runProgram({
-  name: 'bulrush-entry',
-  description: 'Accepts requests from callers and routes them to backend servers.',
-  settings: entry.entrySettings,
-  start: async (options, env, signal, onFatalError) => {
-    const running = await entry.startEntry(options, env, signal, onFatalError)
-    return {
-      fields: { ...running.identity, listening: running.listening, peerListening: running.peerListening },
-      drain: running.drain
-    }
-  }
-})
+// Handlers stand before the rest is loaded, which takes most of the start.
+const signals = earlySignals.holdSignals()
+const main = await import('./entry-main.js')
+await main.run(signals)
--- a/src/bin/run.ts
+++ b/src/bin/run.ts
@@ -1,8 +1,7 @@
 /**
- * Common start-up of the long-running programs: settings, log, signals and exit codes.
+ * Common start-up of the long-running programs: settings, log and exit codes.
  */
 
-import * as events from 'node:events'
 import * as clipanion from 'clipanion'
 import * as environment from '../coordination/environment.js'
 import * as processMetrics from '../coordination/process-metrics.js'
@@ -11,6 +10,8 @@
 import * as version from '../protocol/version.js'
 import * as logging from '../transport/logging.js'
 import * as metrics from '../transport/metrics.js'
+import * as processLifecycle from './process-lifecycle.js'
+import type * as earlySignals from './early-signals.js'
 
 /** Exit codes of all programs. */
 export const exitCodes = {
@@ -45,15 +46,15 @@
   ) => Promise<StartedProgram>
 }
 
-export interface StartedProgram {
+export interface StartedProgram extends processLifecycle.Drainable {
   /** Fields of the ready event. */
   fields: Record<string, unknown>
-  /** Begins the graceful shutdown; settles when no request is in flight any more. */
-  drain: () => Promise<void>
 }
 
 /** Runs a program until SIGTERM, which drains it within the drain timeout, or SIGINT, which stops it immediately. */
-export async function runProgram<S extends typeof settings.commonSettings> (program: Program<S>): Promise<void> {
+export async function runProgram<S extends typeof settings.commonSettings> (
+  program: Program<S>, signals: earlySignals.HeldSignals
+): Promise<void> {
   class StartCommand extends clipanion.Command {
     static override paths = [clipanion.Command.Default]
     static override usage = clipanion.Command.Usage({ description: program.description })
@@ -69,7 +70,7 @@
         for (const text of resolved.problems) this.context.stderr.write(`${program.name}: ${text}\n`)
         return exitCodes.invalidSettings
       }
-      return runUntilSignal(program, resolved.values)
+      return runUntilStopped(program, resolved.values, signals)
     }
   }
   const cli = new clipanion.Cli({ binaryLabel: program.name, binaryName: program.name, binaryVersion: version.VERSION })
@@ -80,51 +81,28 @@
   process.exit(await cli.run(process.argv.slice(2)))
 }
 
-async function runUntilSignal<S extends typeof settings.commonSettings> (
-  program: Program<S>, options: settings.Resolved<S>
+async function runUntilStopped<S extends typeof settings.commonSettings> (
+  program: Program<S>, options: settings.Resolved<S>, signals: earlySignals.HeldSignals
 ): Promise<number> {
   const common = options as settings.Resolved<typeof settings.commonSettings>
   const labels = { role: program.name, host: common.host }
   const log = logging.createEventLog({ format: common.logFormat, level: common.logLevel, labels })
   const sink = metrics.createMetrics(common.statsdAddress, labels)
   const env = await environment.createEnvironment(log, sink)
-  const controller = new AbortController()
-  // Every stream and task of the process listens on this signal; there is no limit above which Node.js should warn.
-  events.EventEmitter.setMaxListeners(0, controller.signal)
-  processMetrics.startProcessMetrics(env, controller.signal)
-  let exitCode: number = exitCodes.ok
-  const stopped = new Promise<void>(resolve => {
-    controller.signal.addEventListener('abort', () => resolve(), { once: true })
+  const lifecycle = new processLifecycle.ProcessLifecycle({
+    log,
+    drainLimitMs: common.drainTimeoutMs,
+    drainFields: { drainTimeoutMs: common.drainTimeoutMs },
+    // Settings are flags and environment variables, which can't change while the process runs.
+    checkSettings: () => {}
   })
-  const onFatalError = (error: Error): void => {
-    log.emit('invariantBroken', { detail: error.stack ?? error.message })
-    exitCode = exitCodes.failed
-    controller.abort()
-  }
-  process.once('SIGINT', () => controller.abort())
-  let drain = async (): Promise<void> => {}
-  process.once('SIGTERM', () => {
-    log.emit('processStopping', { drainTimeoutMs: common.drainTimeoutMs })
-    const timer = setTimeout(() => {
-      if (common.drainTimeoutMs > 0) log.emit('drainOverdue')
-      controller.abort()
-    }, common.drainTimeoutMs)
-    drain().catch(onFatalError).finally(() => {
-      clearTimeout(timer)
-      controller.abort()
-    })
-  })
-  process.on('uncaughtException', onFatalError)
-  process.on('unhandledRejection', reason => onFatalError(reason as Error))
-  try {
-    const started = await program.start(options, env, controller.signal, onFatalError)
-    drain = started.drain
-    log.emit('processReady', started.fields)
-    await stopped
-  } catch (error) {
-    onFatalError(error as Error)
-  }
+  processMetrics.startProcessMetrics(env, lifecycle.signal)
+  await lifecycle.run(
+    signals,
+    async () => await program.start(options, env, lifecycle.signal, error => { lifecycle.noteFault(error) }),
+    started => { log.emit('processReady', started.fields) }
+  )
   log.emit('processStopped')
   await sink.close()
-  return exitCode
+  return lifecycle.hasFault ? exitCodes.failed : exitCodes.ok
 }
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -18,6 +18,7 @@
   processStopped: { number: 1003, level: 'info', text: 'the process has stopped' },
   settingsInvalid: { number: 1004, level: 'error', text: 'settings are invalid' },
   invariantBroken: { number: 1005, level: 'error', text: 'an internal invariant is violated; the process stops' },
+  signalReceived: { number: 1006, level: 'info', text: 'the process received a signal' },
   requestRefused: { number: 2001, level: 'info', text: 'a request was refused' },
   requestCompleted: { number: 2002, level: 'debug', text: 'a request was answered' },
   attemptFailed: { number: 2003, level: 'info', text: 'an attempt at a backend server failed' },
