log: the exit waits for the write in progress

Cause: flushBeforeExit wrote the pending lines past a write that was still in progress. The later lines overtook it, and the rest of a write that the reader's buffer took only in part was lost.

Change: flush waits until all lines are written, in their order, for 300 ms at most.

Test, on the code before: of two lines the second one was written first, and the rest of the first one was lost with the exit. It passes now. Not mended: Node.js itself waits for its write at the exit when nobody reads a full pipe (a trial with a 2 MB write: no exit within 3 s); listeners are closed by then.

--- a/src/bin/platform-run.ts
+++ b/src/bin/platform-run.ts
@@ -98,7 +98,7 @@
   })
   const code = lifecycle.hasFault ? exitCodes.failed : exitCodes.ok
   log.emit('processStopped', { code })
-  log.flushBeforeExit()
+  await log.flush()
   process.exit(code)
 }
 
--- a/src/transport/line-log.ts
+++ b/src/transport/line-log.ts
@@ -20,6 +20,9 @@
 const STANDARD_OUTPUT = 1
 /** Lines wait this long for others, since each write takes several system calls; a line at level `error` does not. */
 const WRITE_DELAY_MS = 100
+/** A reader of the output that is stuck doesn't hold up the exit. */
+const FLUSH_LIMIT_MS = 300
+const FLUSH_POLL_MS = 2
 
 export class LineLog implements logging.EventLog {
   readonly #options: LineLogOptions
@@ -50,15 +53,13 @@
     else this.#writeTimer ??= setTimeout(() => { this.#write() }, WRITE_DELAY_MS)
   }
 
-  /** Writes the pending lines, about MAX_PENDING_BYTES at most, before the process exits. */
-  flushBeforeExit (): void {
-    if (this.#pending.length === 0) return
-    try {
-      fs.writeSync(STANDARD_OUTPUT, this.#pending.join(''))
-    } catch {
-      // The reader is gone or its buffer is full, and there is no other place to report this.
+  /** Settles when all lines are written, or after FLUSH_LIMIT_MS; a process that exits calls it. */
+  async flush (): Promise<void> {
+    const endMs = performance.now() + FLUSH_LIMIT_MS
+    this.#write()
+    while ((this.#isWriting || this.#pending.length > 0) && performance.now() < endMs) {
+      await new Promise(resolve => { setTimeout(resolve, FLUSH_POLL_MS) })
     }
-    this.#pending = []
   }
 
   #isOverRate (nowMs: number): boolean {
