stand-ins: a reset right after the last bytes stays a reset

Cause: Node reports a reset that arrives together with the last bytes as an orderly end, so the proxy of the stand-ins ended the client's connection in order. Its own resets, and those of the stand-in backend server, sent an end before the reset (resetAndDestroy does). A reader behind them can't know that a body without a length was cut.

--- a/standins/fault-proxy.ts
+++ b/standins/fault-proxy.ts
@@ -4,6 +4,8 @@
  */
 
 import * as net from 'node:net'
+import * as answerEnd from '../src/transport/answer-end.js'
+import * as cutAnswers from './cut-answers.js'
 
 export type Direction = 'toTarget' | 'toClient'
 
@@ -117,6 +119,8 @@
     // Relayed as a reset: with a normal end, a body without a length would seem complete.
     client.on('error', () => { resetSocket(target) })
     target.on('error', () => { resetSocket(client) })
+    // Node reports a reset that arrives with the last bytes as an orderly end.
+    target.prependOnceListener('end', () => { if (answerEnd.isReset(target)) resetSocket(client) })
     this.#relay(connection, client, target, 'toTarget').catch(() => reset(connection))
     this.#relay(connection, target, client, 'toClient').catch(() => reset(connection))
   }
@@ -152,7 +156,8 @@
 /** Destroys a socket whose end was sent, since Node does not close its descriptor on a reset. */
 function resetSocket (socket: net.Socket): void {
   if (socket.writableEnded) socket.destroy()
-  else socket.resetAndDestroy()
+  else if (socket.connecting) socket.resetAndDestroy()
+  else cutAnswers.resetOnly(socket)
 }
 
 function sleep (durationMs: number): Promise<void> {
