gateway, calls: half of a body without a length is no whole answer

Cause: libuv reads bytes and a hang-up in one go as bytes and an end, without asking for the socket's error. The gateway took a body without a length for complete unless the socket had an error event, which never came. Calls (http-call.ts) didn't check at all. Change: one place decides what is whole, src/transport/answer-end.ts. A body without a length, or with a coding other than chunked, is whole only if its socket has ended in order: at the end of a socket that was reset, getpeername fails (ENOTCONN), while after an orderly end it doesn't. No byte is sent and nothing waits, so an orderly end costs one system call. A body with a length or chunks that is whole stays whole if a reset follows it.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -91,7 +91,7 @@
   if (result.kind === 'aborted') return watch.outcome(result.wasSent)
   if (result.kind === 'unreachable') return { kind: 'not_run', reason: result.reason, cause: 'unreachable' }
   if (result.kind === 'broken') return { kind: 'failed', reason: result.reason }
-  const { response, connection } = result
+  const { response, request: sent } = result
   const status = response.statusCode ?? 0
   const head = ctx.codec.readResponse(response)
   ctx.limits.noteResponse(backend.row, wholeResponse.statedLimit(request.head.attemptId, head), sentAtMs)
@@ -110,7 +110,7 @@
     }
     const outcome = await streamAttempt.relayStream(response, {
       response: request.response,
-      connection,
+      request: sent,
       progress,
       headers,
       status,
@@ -124,7 +124,7 @@
     })
     return outcome.kind === 'failed' && watch.signal.aborted ? watch.outcome(true) : outcome
   }
-  const whole = await wholeResponse.readWholeResponse(response, connection, ctx.responseBuffers)
+  const whole = await wholeResponse.readWholeResponse(sent, response, ctx.responseBuffers)
   if (whole.kind === 'whole') watch.noteEvent()
   if (whole.kind === 'whole') return { kind: 'response', status, headers, body: whole.body, framing: whole.framing }
   return watch.signal.aborted ? watch.outcome(true) : { kind: 'failed', reason: whole.reason }
--- a/src/coordination/gateway/backend-call.ts
+++ b/src/coordination/gateway/backend-call.ts
@@ -4,6 +4,7 @@
 
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as answerEnd from '../../transport/answer-end.js'
 
 export interface BackendCallOptions {
   /** IP address and port. */
@@ -19,20 +20,13 @@
 }
 
 export type BackendCallResult =
-  | { kind: 'response', response: http.IncomingMessage, connection: BackendConnection }
+  | { kind: 'response', response: http.IncomingMessage, request: http.ClientRequest }
   /** No byte of the request was sent. */
   | { kind: 'unreachable', reason: string }
   /** The connection ended after the request, or a part of it, was sent. */
   | { kind: 'broken', reason: string }
   | { kind: 'aborted', wasSent: boolean }
 
-export interface BackendConnection {
-  /**
-   * Whether the connection ended with an error. Node reports a body without a length as complete even after a reset.
-   */
-  wasReset: boolean
-}
-
 /** One connection per request, so that late responses or surplus bytes of another request can't reach this one. */
 const agent = new http.Agent({ keepAlive: false, maxSockets: Infinity })
 
@@ -46,22 +40,21 @@
       return
     }
     let wasSent = false
-    const connection: BackendConnection = { wasReset: false }
     const abort = (): void => {
       request.destroy()
       resolve({ kind: 'aborted', wasSent })
     }
     const connectTimer = setTimeout(() => { request.destroy(new Error('no connection in time')) }, options.connectTimeoutMs)
     signal.addEventListener('abort', abort, { once: true })
+    answerEnd.watchEnd(request)
     request.on('socket', (socket: net.Socket) => {
       socket.setNoDelay(true)
-      socket.on('error', () => { connection.wasReset = true })
       socket.once('connect', () => {
         wasSent = true
         clearTimeout(connectTimer)
       })
     })
-    request.on('response', response => { resolve({ kind: 'response', response, connection }) })
+    request.on('response', response => { resolve({ kind: 'response', response, request }) })
     request.on('error', error => {
       resolve(wasSent ? { kind: 'broken', reason: error.message } : { kind: 'unreachable', reason: error.message })
     })
--- a/src/coordination/gateway/stream-attempt.ts
+++ b/src/coordination/gateway/stream-attempt.ts
@@ -5,7 +5,7 @@
 
 import type * as http from 'node:http'
 import * as eventStream from '../../protocol/event-stream.js'
-import type * as backendCall from './backend-call.js'
+import * as answerEnd from '../../transport/answer-end.js'
 import type * as call from './call.js'
 
 /** How much of the stream the client has received. */
@@ -21,7 +21,8 @@
 
 export interface StreamOptions {
   response: http.ServerResponse
-  connection: backendCall.BackendConnection
+  /** The request that the source answers. */
+  request: http.ClientRequest
   progress: StreamProgress
   headers: string[]
   status: number
@@ -88,7 +89,7 @@
     source.on('error', error => { fail(error.message) })
     source.on('close', () => { fail('the connection was closed') })
     source.on('end', () => {
-      if (!source.complete || options.connection.wasReset) fail('the stream ended early')
+      if (!answerEnd.isWhole(options.request, source)) fail('the stream ended early')
       else if (splitter.hasPartialEvent) fail('the stream ended within an event')
       else if (!progress.hasHead) fail('the stream has no event')
       else if (isContinued && progress.lastEventId === continuedAfterId) fail('the stream has no further event')
--- a/src/coordination/gateway/whole-response.ts
+++ b/src/coordination/gateway/whole-response.ts
@@ -3,10 +3,10 @@
  */
 
 import type * as http from 'node:http'
+import * as answerEnd from '../../transport/answer-end.js'
 import * as bufferBudget from '../../transport/buffer-budget.js'
 import type * as backendLimits from '../../state/backend-limits.js'
 import type * as callCodec from '../../protocol/call-codec.js'
-import type * as backendCall from './backend-call.js'
 import type * as call from './call.js'
 
 const MIN_FINAL_STATUS = 200
@@ -17,7 +17,7 @@
 
 /** @param budget memory that all responses share; the largest one fails when they need more. */
 export async function readWholeResponse (
-  response: http.IncomingMessage, connection: backendCall.BackendConnection, budget: bufferBudget.BufferBudget
+  request: http.ClientRequest, response: http.IncomingMessage, budget: bufferBudget.BufferBudget
 ): Promise<ReadResult> {
   return await new Promise(resolve => {
     const buffer = bufferBudget.openBuffer(budget, () => {
@@ -26,7 +26,7 @@
     response.on('data', (chunk: Buffer) => { bufferBudget.append(budget, buffer, chunk) })
     response.on('error', error => { resolve({ kind: 'incomplete', reason: error.message }) })
     response.on('end', () => {
-      resolve(response.complete && !connection.wasReset
+      resolve(answerEnd.isWhole(request, response)
         ? { kind: 'whole', body: Buffer.concat(buffer.chunks), framing: framingOf(response) }
         : { kind: 'incomplete', reason: 'the response ended early' })
     })
@@ -38,8 +38,7 @@
 }
 
 export function framingOf (response: http.IncomingMessage): call.BodyFraming {
-  const hasLength = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
-  return hasLength || response.statusCode === 204 || response.statusCode === 304 ? 'length' : 'connection_end'
+  return answerEnd.hasFraming(response) ? 'length' : 'connection_end'
 }
 
 /** Whether a response names another request. A backend server may write one once more before its own response. */
--- a/src/transport/http-call.ts
+++ b/src/transport/http-call.ts
@@ -4,6 +4,7 @@
 
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as answerEnd from './answer-end.js'
 
 export interface HttpCall {
   /** IP address and port. */
@@ -76,11 +77,16 @@
       })
       response.on('error', fail)
       response.on('end', () => {
+        if (!answerEnd.isWhole(request, response)) {
+          fail(new Error('the answer ended early'))
+          return
+        }
         const { statusCode = 0, headers } = response
         resolve({ kind: 'answer', status: statusCode, headers, body: Buffer.concat(chunks) })
       })
     })
     const timer = setTimeout(() => { request.destroy(new Error('no answer in time')) }, call.timeoutMs)
+    answerEnd.watchEnd(request)
     request.on('socket', socket => {
       noteReuse(socket)
       if (socket.connecting) socket.once('connect', () => { wasSent = true })
