transport: undici's answers without a length are cut by a reset

Cause: undici completes a body without a length when its connection is reset, with or without an error event. A cut JSON text is no JSON, so clients that read JSON need none.

--- a/src/transport/backend-client.ts
+++ b/src/transport/backend-client.ts
@@ -5,6 +5,7 @@
 import type * as stream from 'node:stream'
 import * as undici from 'undici'
 import type * as headers from '../protocol/headers.js'
+import * as resetConnector from './reset-connector.js'
 
 export interface BackendRequest {
   /** IP address and port. */
@@ -45,7 +46,7 @@
 
 export function createBackendClient (signal: AbortSignal): BackendClient {
   const agent = new undici.Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+    connect: resetConnector.createConnector({ timeout: CONNECT_TIMEOUT_MS }),
     connections: CONNECTIONS_PER_ADDRESS,
     keepAliveTimeout: KEEP_ALIVE_MS,
     pipelining: 1
--- a/src/transport/object-client.ts
+++ b/src/transport/object-client.ts
@@ -5,9 +5,11 @@
 
 import * as undici from 'undici'
 import type * as platform from '../protocol/platform.js'
+import * as resetConnector from './reset-connector.js'
 
 /** Far above the size of a full snapshot of the configuration, some 0.1 MB. */
 const MAX_OBJECT_BYTES = 16 * 1024 * 1024
+const agent = new undici.Agent({ connect: resetConnector.createConnector() })
 
 export class S3ObjectStore implements platform.ObjectStore {
   readonly #url: string
@@ -21,7 +23,7 @@
 
   async get (key: string, signal: AbortSignal): Promise<platform.ObjectRead> {
     try {
-      const response = await undici.request(this.#urlOf(key), { signal: this.#withTimeout(signal) })
+      const response = await undici.request(this.#urlOf(key), { dispatcher: agent, signal: this.#withTimeout(signal) })
       if (response.statusCode !== 200) {
         await response.body.dump()
         return response.statusCode === 404
@@ -46,6 +48,7 @@
   async put (key: string, body: Buffer, signal: AbortSignal): Promise<platform.ObjectWrite> {
     try {
       const response = await undici.request(this.#urlOf(key), {
+        dispatcher: agent,
         method: 'PUT',
         headers: { 'content-type': 'application/octet-stream' },
         body,
--- a/src/transport/weight-client.ts
+++ b/src/transport/weight-client.ts
@@ -4,8 +4,10 @@
 
 import * as undici from 'undici'
 import type * as platform from '../protocol/platform.js'
+import * as resetConnector from './reset-connector.js'
 
 const DEFAULT_RETRY_MS = 1_000
+const agent = new undici.Agent({ connect: resetConnector.createConnector() })
 
 export class S3WeightStore implements platform.WeightStore {
   readonly #url: string
@@ -19,6 +21,7 @@
   async fetch (model: string, layer: number, expert: number, signal: AbortSignal): Promise<platform.WeightFetch> {
     try {
       const response = await undici.request(`${this.#url}/${encodeURIComponent(model)}/${layer}/${expert}`, {
+        dispatcher: agent,
         signal: AbortSignal.any([signal, AbortSignal.timeout(this.#timeoutMs)])
       })
       let sizeBytes = 0
