event stream: lines without a blank line take linear time

Cause: EventSplitter joined the incomplete event with each chunk and searched it from its start. Change: the search goes on where it stopped, and the incomplete event grows in a buffer that doubles up to the limit on the size of an event, which is as it was. Test: src/protocol/__tests__/long-events.spec.ts, processor time of twice the bytes against that of the bytes, at most 3. Two more tests, which were not run on the code before, hold the limit for an event in many chunks and the ends of events at any division into chunks.

--- a/src/protocol/event-stream.ts
+++ b/src/protocol/event-stream.ts
@@ -14,39 +14,78 @@
 /** A larger event is treated as a failure of the stream. */
 const MAX_EVENT_BYTES = 1024 * 1024
 const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
 const DATA_LINE = /^data(:|\r?$)/m
+const EMPTY = Buffer.alloc(0)
+
+/** What the last bytes are, since a blank line may be divided between two chunks. */
+type LineState = 'within_line' | 'line_start' | 'after_carriage_return'
 
 export class EventSplitter {
-  #rest: Buffer = Buffer.alloc(0)
+  /** Holds the incomplete event in its first `#restBytes`. */
+  #rest = EMPTY
+  #restBytes = 0
+  #state: LineState = 'within_line'
 
   /** @returns the events that are complete now, or undefined when an event exceeds the limit. */
   push (chunk: Buffer): StreamEvent[] | undefined {
-    const data = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk])
     const events: StreamEvent[] = []
     let start = 0
-    for (let end = eventEnd(data, start); end > 0; end = eventEnd(data, start)) {
-      const bytes = data.subarray(start, end)
-      const text = bytes.toString('latin1')
-      events.push({ bytes, id: idOf(text), hasData: DATA_LINE.test(text) })
+    for (let end = this.#eventEnd(chunk, start); end > 0; end = this.#eventEnd(chunk, start)) {
+      events.push(this.#takeEvent(chunk.subarray(start, end)))
       start = end
     }
-    this.#rest = data.subarray(start)
-    return this.#rest.length > MAX_EVENT_BYTES ? undefined : events
+    return this.#keep(chunk.subarray(start)) ? events : undefined
   }
 
   /** Whether the last event is incomplete. */
   get hasPartialEvent (): boolean {
-    return this.#rest.length > 0
+    return this.#restBytes > 0
+  }
+
+  /** @returns the index after the blank line that ends the event; 0 when the event is incomplete. */
+  #eventEnd (chunk: Buffer, start: number): number {
+    let at = start
+    while (at < chunk.length) {
+      if (this.#state === 'within_line') {
+        const lineFeedAt = chunk.indexOf(LINE_FEED, at)
+        if (lineFeedAt < 0) return 0
+        at = lineFeedAt + 1
+        this.#state = 'line_start'
+        continue
+      }
+      const byte = chunk[at]
+      at += 1
+      const isLineFeed = byte === LINE_FEED
+      const isCarriageReturn = byte === CARRIAGE_RETURN && this.#state === 'line_start'
+      this.#state = isCarriageReturn ? 'after_carriage_return' : 'within_line'
+      if (isLineFeed) return at
+    }
+    return 0
+  }
+
+  #takeEvent (last: Buffer): StreamEvent {
+    const bytes = this.#restBytes === 0 ? last : Buffer.concat([this.#rest.subarray(0, this.#restBytes), last])
+    this.#rest = EMPTY
+    this.#restBytes = 0
+    const text = bytes.toString('latin1')
+    return { bytes, id: idOf(text), hasData: DATA_LINE.test(text) }
   }
-}
 
-/** @returns the index after the blank line that ends the event at `start`; 0 when the event is incomplete. */
-function eventEnd (data: Buffer, start: number): number {
-  for (let at = data.indexOf(LINE_FEED, start); at >= 0; at = data.indexOf(LINE_FEED, at + 1)) {
-    if (data[at + 1] === LINE_FEED) return at + 2
-    if (data[at + 1] === 0x0d && data[at + 2] === LINE_FEED) return at + 3
+  /** Appends to the incomplete event. @returns whether it is within the limit. */
+  #keep (part: Buffer): boolean {
+    const sizeBytes = this.#restBytes + part.length
+    if (sizeBytes > MAX_EVENT_BYTES) return false
+    if (sizeBytes > this.#rest.length) {
+      // Doubled, so that an event in many small chunks is not copied for each of them.
+      const grown = Buffer.allocUnsafe(Math.min(MAX_EVENT_BYTES, Math.max(sizeBytes, 2 * this.#rest.length)))
+      this.#rest.copy(grown, 0, 0, this.#restBytes)
+      this.#rest = grown
+    }
+    part.copy(this.#rest, this.#restBytes)
+    this.#restBytes = sizeBytes
+    return true
   }
-  return 0
 }
 
 function idOf (text: string): number | undefined {
