demo: signals in series leave no process behind

Cause: the demonstration handled SIGINT and SIGTERM with process.once, so that a second signal ended it while the entries, agents and stand-ins that it had started went on. SIGHUP ended it at once.

--- a/playground/__tests__/signals.spec.ts
+++ b/playground/__tests__/signals.spec.ts
@@ -1,3 +1,6 @@
+import * as childProcess from 'node:child_process'
+import * as path from 'node:path'
+import * as readline from 'node:readline'
 import * as timers from 'node:timers/promises'
 import * as vitest from 'vitest'
 import * as cluster from '../cluster.js'
@@ -91,3 +94,33 @@
     const running = launch(role, `SIGTERM@${moment},SIGTERM@300`)
     expect(await running.exited).toBe(0)
   })
+
+// Guards against parts of the demonstration that go on after it has been stopped in series.
+test('the demonstration ends its processes when signals come in series', async () => {
+  const program = path.join(processRunner.PROGRAM_ROOT, 'playground/demo.js')
+  const demo = childProcess.spawn(process.execPath, [program, '--hold'], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const exited = new Promise<number | null>(resolve => { demo.once('exit', code => { resolve(code) }) })
+  const ready = await new Promise<string>(resolve => {
+    readline.createInterface({ input: demo.stdout }).on('line', line => {
+      if (line.startsWith('READY ')) resolve(line.slice(6))
+    })
+  })
+  const { processes } = JSON.parse(ready) as { processes: { pid: number }[] }
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGTERM', 'SIGHUP'] as const) {
+    demo.kill(signal)
+    await timers.setTimeout(20)
+  }
+  const code = await exited
+  const alive = processes.filter(({ pid }) => isAlive(pid))
+  for (const { pid } of alive) process.kill(pid, 'SIGKILL')
+  expect(alive).toEqual([])
+  expect(code).toBe(0)
+})
+
+function isAlive (pid: number): boolean {
+  try {
+    return process.kill(pid, 0)
+  } catch {
+    return false
+  }
+}
--- a/playground/demo.ts
+++ b/playground/demo.ts
@@ -21,16 +21,16 @@
   teams: ['support', 'chat']
 })
 
+// The handlers stay: a second signal would end this process while the processes that it started go on.
 const stopped = new Promise<void>(resolve => {
-  process.once('SIGINT', resolve)
-  process.once('SIGTERM', resolve)
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP'] as const) process.on(signal, () => { resolve() })
 })
 
 let exitCode = 0
 try {
   await deployment.start()
   if (process.argv.includes('--hold')) await hold()
-  else exitCode = await run()
+  else exitCode = await Promise.race([run(), stopped.then(() => 1)])
 } catch (error) {
   console.error(error)
   exitCode = 1
