Pass rows on to peers apart from those that a host keeps on suspicion

What operators would see: servers that have left are used again by hosts that had dropped them, until the servers end and work is lost with them. Cause: a host whose call to the store failed keeps missing rows for 2.2 s. It served them to its peers like listed ones under the newest revision, and a peer with a lower revision took its table. The deletion lies before that revision, so that the peer's own feed never brought it again. Change: documents tell listed rows apart from missing ones, which carry the revision at which they were listed last and the time that is left. A process that has seen the row go since, or has removed the instance, doesn't take it; one that still lists it keeps it for no longer than the sender, and its own feed ends that, also with a change of an earlier revision than the table's. A host that hears of the store's return from a peer only keeps expired rows as before. Between versions: the list that an earlier version reads holds listed rows only, so that it can't take a kept one for listed; it drops them, as deleted. What an earlier version sends has no marks; its rows of instances that this process has removed are left out.

--- a/src/coordination/cluster/shared-documents.ts
+++ b/src/coordination/cluster/shared-documents.ts
@@ -8,6 +8,7 @@
 import * as backendTable from '../../state/backend-table.js'
 import * as revisionModule from '../../state/revision.js'
 import * as routingTable from '../../state/routing-table.js'
+import * as tableDocument from '../../state/table-document.js'
 import type * as backendPool from '../../state/backend-pool.js'
 import type * as clusterView from '../../state/cluster-view.js'
 import type * as runtime from '../runtime.js'
@@ -24,10 +25,8 @@
 }
 
 /** JSON form in which peers serve the documents. */
-interface PeerDocuments {
+interface PeerDocuments extends tableDocument.TableDocument {
   configuration: routingTable.Configuration | null
-  backendRevision: revisionModule.Revision
-  backends: backendPool.BackendRow[]
 }
 
 const PATHS: Record<WantedDocuments, string> = { all: '/documents', configuration: '/documents/configuration' }
@@ -83,9 +82,8 @@
   encode (path: string): string | undefined {
     if (path === PATHS.configuration) return `{"configuration":${this.#encodedConfiguration()}}`
     if (path !== PATHS.all) return undefined
-    const backends = JSON.stringify(backendTable.rowsOf(this.table))
-    const revision = JSON.stringify(this.table.revision)
-    return `{"configuration":${this.#encodedConfiguration()},"backendRevision":${revision},"backends":${backends}}`
+    const table = JSON.stringify(tableDocument.encodeTable(this.table, this.#options.runtime.nowMs()))
+    return `{"configuration":${this.#encodedConfiguration()},${table.slice(1)}`
   }
 
   /** The encoded form is cached, since many peers request the same version within a second. */
@@ -132,11 +130,7 @@
     if (result.kind === 'failed') throw new Error(result.reason)
     const documents = JSON.parse(result.body.toString('utf8')) as PeerDocuments
     if (documents.configuration !== null) this.applyConfiguration(documents.configuration, peer)
-    if (this.#options.wanted === 'configuration' || !this.#isAhead(documents.backendRevision)) return
-    backendTable.replaceAll(
-      this.table, documents.backends.map(row => ({ id: row.id, row, wasDeleted: false })),
-      documents.backendRevision, this.#options.runtime.nowMs()
-    )
-    this.publishBackends()
+    if (this.#options.wanted === 'configuration') return
+    if (tableDocument.mergeTable(this.table, documents, this.#options.runtime.nowMs())) this.publishBackends()
   }
 }
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -8,7 +8,7 @@
 import type * as backendPool from './backend-pool.js'
 
 /** Live backend servers have written their rows again about two seconds after the store recovers. */
-const STORE_RECOVERY_GRACE_MS = 2_200
+export const STORE_RECOVERY_GRACE_MS = 2_200
 /**
  * A row of an instance that had left is used only if it is still listed after this time: the platform deletes the row
  * of a silent backend server after three heartbeats, and a live one writes its row again before.
@@ -17,10 +17,18 @@
 /** For how long removed instances are remembered; the copy that a store is restored from is some seconds old. */
 const REMOVED_RETENTION_MS = 300_000
 
-interface TableEntry {
+export interface TableEntry {
   row: backendPool.BackendRow
-  /** When a missing row is removed; undefined while it is listed. */
-  goneAtMs: number | undefined
+  /** Undefined while it is listed. */
+  missing: MissingSpan | undefined
+}
+
+/** For how long a row is kept that the store doesn't list. */
+export interface MissingSpan {
+  /** Latest revision at which it was listed. */
+  listedAt: revisionModule.Revision
+  /** When it is removed. */
+  goneAtMs: number
 }
 
 export interface BackendTable {
@@ -53,40 +61,60 @@
   table.graceUntilMs = nowMs + STORE_RECOVERY_GRACE_MS
 }
 
-/** Applies changes up to a revision of the store; those of an earlier revision than the table's are ignored. */
+/**
+ * Applies changes up to a revision of the store. Those of an earlier revision than the table's are ignored, but for
+ * deletions of rows that are missing already: a row that is kept since a peer keeps it goes when the store tells this
+ * process itself.
+ */
 export function applyChanges (
   table: BackendTable, changes: readonly BackendChange[], revision: revisionModule.Revision, nowMs: number
 ): void {
-  if (revisionModule.isBefore(revision, table.revision)) return
+  if (revisionModule.isBefore(revision, table.revision)) {
+    if (revision.era === table.revision.era) confirmMissing(table, changes, nowMs)
+    return
+  }
+  const listedAt = table.revision
   table.revision = revision
   for (const change of changes) {
     if (change.row !== undefined) list(table, change.row)
-    else if (change.wasDeleted) removeOrKeepForGrace(table, change.id, nowMs)
+    else if (change.wasDeleted) removeOrKeepForGrace(table, change.id, listedAt, nowMs)
     else table.entries.delete(change.id)
     table.returned.delete(change.id)
   }
 }
 
-/** Replaces all rows by those of a complete read at one revision; the others count as deleted. */
+/**
+ * Replaces all rows by those of a complete read at one revision; the others count as deleted.
+ *
+ * @param kept ids of missing rows that stay for a time of their own.
+ */
 export function replaceAll (
-  table: BackendTable, rows: readonly BackendChange[], revision: revisionModule.Revision, nowMs: number
+  table: BackendTable, rows: readonly BackendChange[], revision: revisionModule.Revision, nowMs: number,
+  kept: ReadonlySet<string> = new Set()
 ): void {
   if (revisionModule.isBefore(revision, table.revision)) return
   const isRestored = revision.era !== table.revision.era && table.entries.size > 0
   if (isRestored) noteStoreRecovery(table, nowMs)
   const returned = isRestored ? rows.filter(change => isRemovedInstance(table, change.row)) : []
   const listed = new Set(rows.map(change => change.id))
-  const missing = [...table.entries.keys()].filter(id => !listed.has(id))
+  const missing = [...table.entries.keys()].filter(id => !listed.has(id) && !kept.has(id))
     .map(id => ({ id, row: undefined, wasDeleted: true }))
   applyChanges(table, [...rows.filter(change => !returned.includes(change)), ...missing], revision, nowMs)
   for (const { id, row } of returned) table.returned.set(id, { row: row!, usableAtMs: nowMs + RETURNED_ROW_DELAY_MS })
 }
 
+function confirmMissing (table: BackendTable, changes: readonly BackendChange[], nowMs: number): void {
+  for (const { id, wasDeleted } of changes) {
+    const entry = table.entries.get(id)
+    if (wasDeleted && entry?.missing !== undefined && nowMs >= table.graceUntilMs) remove(table, id, entry, nowMs)
+  }
+}
+
 function list (table: BackendTable, row: backendPool.BackendRow): void {
   const known = table.entries.get(row.id)?.row
   // An instance that drains never accepts work again: `ready` comes from an older copy of the store.
   const isDraining = known?.state === 'draining' && isSameInstance(known, row)
-  table.entries.set(row.id, { row: isDraining ? { ...row, state: 'draining' } : row, goneAtMs: undefined })
+  table.entries.set(row.id, { row: isDraining ? { ...row, state: 'draining' } : row, missing: undefined })
   table.removed.delete(row.id)
 }
 
@@ -95,15 +123,17 @@
   return a.startedAtUnixMs === b.startedAtUnixMs && a.startedAtUnixMs !== 0
 }
 
-function isRemovedInstance (table: BackendTable, row: backendPool.BackendRow | undefined): boolean {
+export function isRemovedInstance (table: BackendTable, row: backendPool.BackendRow | undefined): boolean {
   const removed = row === undefined ? undefined : table.removed.get(row.id)
   return removed !== undefined && isSameInstance(removed, row!)
 }
 
-function removeOrKeepForGrace (table: BackendTable, id: string, nowMs: number): void {
+function removeOrKeepForGrace (
+  table: BackendTable, id: string, listedAt: revisionModule.Revision, nowMs: number
+): void {
   const entry = table.entries.get(id)
   if (entry === undefined) return
-  if (nowMs < table.graceUntilMs) entry.goneAtMs ??= table.graceUntilMs
+  if (nowMs < table.graceUntilMs) entry.missing ??= { listedAt, goneAtMs: table.graceUntilMs }
   else remove(table, id, entry, nowMs)
 }
 
@@ -122,7 +152,7 @@
 export function settle (table: BackendTable, nowMs: number): boolean {
   let hasChanged = false
   for (const [id, entry] of table.entries) {
-    if (entry.goneAtMs === undefined || entry.goneAtMs > nowMs) continue
+    if (entry.missing === undefined || entry.missing.goneAtMs > nowMs) continue
     remove(table, id, entry, nowMs)
     hasChanged = true
   }
@@ -148,7 +178,7 @@
 /** Whether `entry` rather than `other` describes the instance that holds the address now. */
 function isNewer (entry: TableEntry, other: TableEntry): boolean {
   // A listed row takes precedence over a missing one that is kept for the grace period.
-  const [isListed, isOtherListed] = [entry.goneAtMs === undefined, other.goneAtMs === undefined]
+  const [isListed, isOtherListed] = [entry.missing === undefined, other.missing === undefined]
   if (isListed !== isOtherListed) return isListed
   return entry.row.startedAtUnixMs > other.row.startedAtUnixMs
 }
--- /dev/null
+++ b/src/state/table-document.ts
@@ -0,0 +1,68 @@
+/**
+ * The backend table in the form in which processes pass it on to each other. It tells what the store lists apart from
+ * what the sender keeps on suspicion: a row that one host keeps since it lost the store for a moment is no news for a
+ * host that saw the row go.
+ */
+
+import * as backendTable from './backend-table.js'
+import * as revisionModule from './revision.js'
+import type * as backendPool from './backend-pool.js'
+
+export interface TableDocument {
+  backendRevision: revisionModule.Revision
+  /** Rows that the store lists at this revision. */
+  backends: backendPool.BackendRow[]
+  /** Rows that the sender keeps although they are missing; undefined in the form of an earlier version. */
+  missing?: MissingRow[]
+}
+
+export interface MissingRow {
+  row: backendPool.BackendRow
+  /** Latest revision at which the sender knows the row to have been listed. */
+  listedAt: revisionModule.Revision
+  /** For how much longer the sender keeps it. */
+  keptMs: number
+}
+
+export function encodeTable (table: backendTable.BackendTable, nowMs: number): TableDocument {
+  const entries = [...table.entries.values()]
+  return {
+    backendRevision: table.revision,
+    backends: entries.filter(entry => entry.missing === undefined).map(entry => entry.row),
+    missing: entries.flatMap(({ row, missing }) => missing === undefined || missing.goneAtMs <= nowMs
+      ? []
+      : [{ row, listedAt: missing.listedAt, keptMs: Math.ceil(missing.goneAtMs - nowMs) }])
+  }
+}
+
+/** Takes the table of a peer if it is of a later revision. @returns whether it was taken. */
+export function mergeTable (table: backendTable.BackendTable, document: TableDocument, nowMs: number): boolean {
+  if (!revisionModule.isBefore(table.revision, document.backendRevision)) return false
+  const kept = (document.missing ?? []).filter(missing => keepMissing(table, missing, nowMs)).map(({ row }) => row.id)
+  // An earlier version lists the rows that it keeps like others, so that those of removed instances say nothing.
+  const listed = document.missing === undefined
+    ? document.backends.filter(row => !backendTable.isRemovedInstance(table, row))
+    : document.backends
+  const changes = listed.map(row => ({ id: row.id, row, wasDeleted: false }))
+  backendTable.replaceAll(table, changes, document.backendRevision, nowMs, new Set(kept))
+  return true
+}
+
+/**
+ * Keeps a missing row for as long as the peer does, unless this process knows that it has gone since the peer saw it.
+ * The time is never extended on the way, and the store's own word to this process ends it.
+ *
+ * @returns whether it is kept.
+ */
+function keepMissing (
+  table: backendTable.BackendTable, { row, listedAt, keptMs }: MissingRow, nowMs: number
+): boolean {
+  const entry = table.entries.get(row.id)
+  if (entry === undefined) {
+    const isNews = revisionModule.isBefore(table.revision, listedAt)
+    if (!isNews || backendTable.isRemovedInstance(table, row)) return false
+  } else if (entry.row.startedAtUnixMs !== row.startedAtUnixMs) return false
+  const goneAtMs = nowMs + Math.min(keptMs, backendTable.STORE_RECOVERY_GRACE_MS)
+  table.entries.set(row.id, { row: entry?.row ?? row, missing: entry?.missing ?? { listedAt, goneAtMs } })
+  return true
+}
