Hold rows of removed instances across eras, whoever brought the era

What operators would see: after a restore of the store, a server that has left is used again for up to 0.6 s by hosts that took the new era from a peer, and by hosts that start after it. Cause: a row of a removed instance was held for 6 s only in the read that changed the era of the table. A host that had taken the era from a peer read the store in the same era and listed the row at once; one that starts knows of no removal. Change: a removal keeps its revision, and a listed row of an instance that was removed, or went missing, in an earlier era is held whichever read brings it, until a write of the server or 6 s. Documents tell removals with their age and held rows; a process that starts asks once for removals (/documents/removed; an earlier version answers 404 and is not asked again). A removal told by a peer doesn't concern a row that was written in the new era. An instance that drained before its removal stays draining. A held row that a later read lacks is dropped; before, it was used after its 6 s. Without a start in its row an instance is told by its id; then it is held, but a drain before its removal is not remembered.

--- a/src/coordination/cluster/shared-documents.ts
+++ b/src/coordination/cluster/shared-documents.ts
@@ -29,7 +29,7 @@
   configuration: routingTable.Configuration | null
 }
 
-const PATHS: Record<WantedDocuments, string> = { all: '/documents', configuration: '/documents/configuration' }
+const PATHS = { all: '/documents', configuration: '/documents/configuration', removed: '/documents/removed' }
 /** Minimum interval of an agent's fetches: it only reads the engine parameters, which seldom change. */
 const CONFIGURATION_INTERVAL_MS = 5_000
 const FETCH_TIMEOUT_MS = 800
@@ -44,6 +44,8 @@
   readonly #agent = new http.Agent({ keepAlive: false })
   #isFetching = false
   #fetchedAtMs = -Infinity
+  /** Whether a peer has told which instances were removed before this process started. */
+  #knowsRemoved = false
   #encodedCache: { version: number, text: string } | undefined
 
   constructor (options: SharedDocumentsOptions) {
@@ -81,11 +83,16 @@
   /** @returns the documents that a peer requests; undefined for an unknown path. */
   encode (path: string): string | undefined {
     if (path === PATHS.configuration) return `{"configuration":${this.#encodedConfiguration()}}`
+    if (path === PATHS.removed) return this.#encodedRemoved()
     if (path !== PATHS.all) return undefined
     const table = JSON.stringify(tableDocument.encodeTable(this.table, this.#options.runtime.nowMs()))
     return `{"configuration":${this.#encodedConfiguration()},${table.slice(1)}`
   }
 
+  #encodedRemoved (): string {
+    return JSON.stringify({ removed: tableDocument.encodeRemoved(this.table, this.#options.runtime.nowMs()) })
+  }
+
   /** The encoded form is cached, since many peers request the same version within a second. */
   #encodedConfiguration (): string {
     const version = this.configurationVersion
@@ -97,10 +104,13 @@
 
   /** Fetches the documents from a peer that has newer ones. */
   noteStatus (status: clusterView.PeerStatus): void {
-    if (this.#isFetching || !this.#isNewer(status)) return
+    const isNewer = this.#isNewer(status)
+    const lacksRemoved = this.#options.wanted === 'all' && !this.#knowsRemoved && status.role === 'entry'
+    if (this.#isFetching || !(isNewer || lacksRemoved)) return
     this.#isFetching = true
     this.#fetchedAtMs = this.#options.runtime.nowMs()
-    this.#fetch(status.address).catch((error: Error) => {
+    const fetching = isNewer ? this.#fetch(status.address) : this.#fetchRemoved(status.address)
+    fetching.catch((error: Error) => {
       this.#options.runtime.log.emit('peerFetchFailed', { peer: status.address, reason: error.message })
     }).finally(() => { this.#isFetching = false })
   }
@@ -117,20 +127,36 @@
     return parsed !== undefined && revisionModule.isBefore(this.table.revision, parsed)
   }
 
-  async #fetch (peer: string): Promise<void> {
+  async #call (peer: string, path: string): Promise<Extract<httpCall.HttpCallResult, { kind: 'answer' }>> {
     const result = await httpCall.callHttp({
       address: peer,
       method: 'GET',
-      path: PATHS[this.#options.wanted],
+      path,
       agent: this.#agent,
       maxBodyBytes: MAX_DOCUMENTS_BYTES,
       timeoutMs: FETCH_TIMEOUT_MS,
       signal: this.#options.signal
     })
     if (result.kind === 'failed') throw new Error(result.reason)
+    return result
+  }
+
+  /** A process that starts after the store was restored would use servers that left before it started. */
+  async #fetchRemoved (peer: string): Promise<void> {
+    const answer = await this.#call(peer, PATHS.removed)
+    this.#knowsRemoved = true
+    // An earlier version doesn't know the path.
+    if (answer.status !== 200) return
+    const { removed } = JSON.parse(answer.body.toString('utf8')) as { removed: tableDocument.ToldRemoval[] }
+    if (tableDocument.mergeRemoved(this.table, removed, this.#options.runtime.nowMs())) this.publishBackends()
+  }
+
+  async #fetch (peer: string): Promise<void> {
+    const result = await this.#call(peer, PATHS[this.#options.wanted])
     const documents = JSON.parse(result.body.toString('utf8')) as PeerDocuments
     if (documents.configuration !== null) this.applyConfiguration(documents.configuration, peer)
     if (this.#options.wanted === 'configuration') return
+    if (documents.removed !== undefined) this.#knowsRemoved = true
     if (tableDocument.mergeTable(this.table, documents, this.#options.runtime.nowMs())) this.publishBackends()
   }
 }
--- a/src/state/__tests__/table-document.spec.ts
+++ b/src/state/__tests__/table-document.spec.ts
@@ -121,3 +121,100 @@
   tableDocument.mergeTable(calm, passOn(peer, 3_100), 3_100)
   expect(ids(calm)).toEqual(['a', 'b'])
 })
+
+/** Tables of two hosts that have seen `a` leave, and of a third one that has just read the restored store. */
+function restoredTables (): Record<'first' | 'second' | 'starting', backendTable.BackendTable> {
+  const [first, second] = [tableOf(['a', 'b']), tableOf(['a', 'b'])]
+  for (const table of [first, second]) backendTable.applyChanges(table, [deleted('a')], at(11), 5_000)
+  backendTable.replaceAll(first, rows('a', 'b'), at(4, 1), 10_000)
+  return { first, second, starting: backendTable.createTable() }
+}
+
+// Guards against requests to a departed server at a host that takes the new era from a peer before its own read.
+test('a row that a restored store lists again is held by a host that knows the era from a peer', () => {
+  for (const isAlive of [true, false]) {
+    const { first, second } = restoredTables()
+    tableDocument.mergeTable(second, passOn(first, 10_500), 10_500)
+    expect(ids(second)).toEqual(['b'])
+    backendTable.replaceAll(second, rows('a', 'b'), at(5, 1), 11_000)
+    expect(ids(second)).toEqual(['b'])
+    if (!isAlive) backendTable.applyChanges(second, [deleted('a')], at(6, 1), 14_000)
+    backendTable.settle(second, 15_900)
+    expect(ids(second)).toEqual(['b'])
+    backendTable.settle(second, 16_100)
+    expect(ids(second)).toEqual(isAlive ? ['a', 'b'] : ['b'])
+  }
+})
+
+// Guards against a peer without memory of the removal whose list brings the departed server back.
+test('a removal holds against a peer that has read the restored store only', () => {
+  const { second, starting } = restoredTables()
+  backendTable.replaceAll(starting, rows('a', 'b'), at(4, 1), 10_000)
+  tableDocument.mergeTable(second, passOn(starting, 10_500), 10_500)
+  expect(ids(second)).toEqual(['b'])
+})
+
+// Guards against a process that starts after a restore and uses the departed server, since it has not seen it leave.
+test('a process that has not seen the removal learns of it from a peer', () => {
+  const { first, starting } = restoredTables()
+  backendTable.replaceAll(starting, rows('a', 'b'), at(4, 1), 10_000)
+  expect(ids(starting)).toEqual(['a', 'b'])
+  const told = tableDocument.encodeRemoved(first, 10_500)
+  expect(tableDocument.mergeRemoved(starting, told, 10_500)).toBe(true)
+  expect(ids(starting)).toEqual(['b'])
+  backendTable.settle(starting, 16_100)
+  expect(ids(starting)).toEqual(['a', 'b'])
+  // It has shown that it is alive.
+  expect(tableDocument.mergeRemoved(starting, told, 16_200)).toBe(false)
+})
+
+// Guards against a live server that one late word of its removal takes out of use.
+test('a removal does not concern a row that was written in the new era', () => {
+  const { first, starting } = restoredTables()
+  backendTable.replaceAll(starting, rows('b'), at(4, 1), 10_000)
+  backendTable.applyChanges(starting, rows('a'), at(5, 1), 10_200)
+  expect(tableDocument.mergeRemoved(starting, tableDocument.encodeRemoved(first, 10_500), 10_500)).toBe(false)
+  backendTable.replaceAll(starting, rows('a', 'b'), at(6, 1), 10_600)
+  expect(ids(starting)).toEqual(['a', 'b'])
+})
+
+// Guards against a held row that is used although a later read doesn't list it any more.
+test('a held row that a later read lacks is not used', () => {
+  const { first } = restoredTables()
+  backendTable.replaceAll(first, rows('b'), at(6, 1), 14_000)
+  expect(backendTable.settle(first, 17_000)).toBe(false)
+  expect(ids(first)).toEqual(['b'])
+})
+
+// Guards against a row kept for a grace period that becomes a listed one through the copy of the store.
+test('a missing row that a restored store lists is kept no longer than before, and then held', () => {
+  const table = disturbedTable()
+  backendTable.replaceAll(table, rows('a', 'b'), at(4, 1), 2_000)
+  expect(ids(table)).toEqual(['a', 'b'])
+  backendTable.settle(table, 3_300)
+  expect(ids(table)).toEqual(['b'])
+  backendTable.replaceAll(table, rows('a', 'b'), at(5, 1), 4_000)
+  expect(ids(table)).toEqual(['b'])
+  backendTable.settle(table, 8_100)
+  expect(ids(table)).toEqual(['a', 'b'])
+})
+
+// Guards against a server that drained before its row went, and that is ready in the copy.
+test('an instance that drained before its removal stays draining', () => {
+  const table = tableOf(['a'])
+  backendTable.applyChanges(table, [{ id: 'a', row: rowOf('a', { state: 'draining' }), wasDeleted: false }], at(11), 100)
+  backendTable.applyChanges(table, [deleted('a')], at(12), 3_000)
+  backendTable.applyChanges(table, rows('a'), at(13), 4_000)
+  expect(backendTable.rowsOf(table).map(row => row.state)).toEqual(['draining'])
+  const next = { id: 'a', row: rowOf('a', { startedAtUnixMs: 2 }), wasDeleted: false }
+  backendTable.applyChanges(table, [next], at(14), 5_000)
+  expect(backendTable.rowsOf(table).map(row => row.state)).toEqual(['ready'])
+})
+
+// Guards against a memory of removals that grows for ever, also by telling each other.
+test('a removal is forgotten after its time at all hosts', () => {
+  const { first, starting } = restoredTables()
+  tableDocument.mergeRemoved(starting, tableDocument.encodeRemoved(first, 200_000), 200_000)
+  expect(starting.removed.size).toBe(1)
+  expect(tableDocument.encodeRemoved(starting, 305_100)).toEqual([])
+})
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -4,6 +4,7 @@
  * comes back from an older copy may lack rows in the same way, and may list backend servers that have left since.
  */
 
+import * as backendInstance from './backend-instance.js'
 import * as revisionModule from './revision.js'
 import type * as backendPool from './backend-pool.js'
 
@@ -15,12 +16,17 @@
  */
 const RETURNED_ROW_DELAY_MS = 6_000
 /** For how long removed instances are remembered; the copy that a store is restored from is some seconds old. */
-const REMOVED_RETENTION_MS = 300_000
+export const REMOVED_RETENTION_MS = 300_000
 
 export interface TableEntry {
   row: backendPool.BackendRow
   /** Undefined while it is listed. */
   missing: MissingSpan | undefined
+  /** Era of the store in which it is listed, and since when. */
+  era: number
+  listedAtMs: number
+  /** Whether its backend server is known to have written it in this era; a restored store lists older rows. */
+  isConfirmed: boolean
 }
 
 /** For how long a row is kept that the store doesn't list. */
@@ -31,16 +37,29 @@
   goneAtMs: number
 }
 
+/** A deleted row. It is final for its instance until that is known to have written its row again. */
+export interface RemovedInstance extends backendInstance.InstanceId {
+  state: backendPool.BackendState
+  /** Revision at which it was missing. */
+  revision: revisionModule.Revision
+  atMs: number
+}
+
+export interface ReturnedRow {
+  row: backendPool.BackendRow
+  usableAtMs: number
+}
+
 export interface BackendTable {
   /** Latest revision of the store that the rows reflect. */
   revision: revisionModule.Revision
   /** Missing rows are kept until this time. */
   graceUntilMs: number
   entries: Map<string, TableEntry>
-  /** Instances whose rows were deleted. */
-  removed: Map<string, { startedAtUnixMs: number, atMs: number }>
-  /** Rows of removed instances that a restored store lists again, until they are used. */
-  returned: Map<string, { row: backendPool.BackendRow, usableAtMs: number }>
+  /** Instances whose rows were deleted, by id and start. */
+  removed: Map<string, RemovedInstance>
+  /** Rows of removed instances that a restored store lists again, until they are used; by id. */
+  returned: Map<string, ReturnedRow>
 }
 
 export interface BackendChange {
@@ -76,31 +95,82 @@
   const listedAt = table.revision
   table.revision = revision
   for (const change of changes) {
-    if (change.row !== undefined) list(table, change.row)
+    if (change.row !== undefined) list(table, change.row, true, nowMs)
     else if (change.wasDeleted) removeOrKeepForGrace(table, change.id, listedAt, nowMs)
     else table.entries.delete(change.id)
     table.returned.delete(change.id)
   }
 }
 
-/**
- * Replaces all rows by those of a complete read at one revision; the others count as deleted.
- *
- * @param kept ids of missing rows that stay for a time of their own.
- */
+/** What a peer tells of a complete read besides the rows that it uses. */
+export interface ReadNotes {
+  /** Ids of missing rows that stay for a time of their own. */
+  kept: ReadonlySet<string>
+  /** Ids of rows that the peer doesn't use yet, with the time until then. */
+  heldMs: ReadonlyMap<string, number>
+}
+
+const NO_NOTES: ReadNotes = { kept: new Set(), heldMs: new Map() }
+
+/** Replaces all rows by those of a complete read at one revision; the others count as deleted. */
 export function replaceAll (
   table: BackendTable, rows: readonly BackendChange[], revision: revisionModule.Revision, nowMs: number,
-  kept: ReadonlySet<string> = new Set()
+  { kept, heldMs } = NO_NOTES
 ): void {
   if (revisionModule.isBefore(revision, table.revision)) return
-  const isRestored = revision.era !== table.revision.era && table.entries.size > 0
-  if (isRestored) noteStoreRecovery(table, nowMs)
-  const returned = isRestored ? rows.filter(change => isRemovedInstance(table, change.row)) : []
+  if (revision.era !== table.revision.era && table.entries.size > 0) noteStoreRecovery(table, nowMs)
+  const held = new Map<string, ReturnedRow>()
+  for (const { id, row } of rows) {
+    if (row === undefined || !isHeld(table, row, revision, heldMs.has(id))) continue
+    const known = table.returned.get(id)
+    const knownMs = known?.row.startedAtUnixMs === row.startedAtUnixMs ? known.usableAtMs : Infinity
+    held.set(id, { row, usableAtMs: Math.min(knownMs, nowMs + (heldMs.get(id) ?? RETURNED_ROW_DELAY_MS)) })
+  }
   const listed = new Set(rows.map(change => change.id))
   const missing = [...table.entries.keys()].filter(id => !listed.has(id) && !kept.has(id))
     .map(id => ({ id, row: undefined, wasDeleted: true }))
-  applyChanges(table, [...rows.filter(change => !returned.includes(change)), ...missing], revision, nowMs)
-  for (const { id, row } of returned) table.returned.set(id, { row: row!, usableAtMs: nowMs + RETURNED_ROW_DELAY_MS })
+  const listedAt = table.revision
+  table.revision = revision
+  for (const { id, row } of rows) {
+    if (row === undefined) table.entries.delete(id)
+    else if (!held.has(id)) list(table, row, isRemovedInstance(table, row), nowMs)
+  }
+  for (const { id } of missing) removeOrKeepForGrace(table, id, listedAt, nowMs)
+  table.returned = held
+}
+
+/**
+ * Whether a listed row is not used yet: it is of an instance that went missing in an earlier era, so that it may come
+ * from the copy. In the era of its removal it was written again since.
+ */
+function isHeld (
+  table: BackendTable, row: backendPool.BackendRow, revision: revisionModule.Revision, isHeldByPeer: boolean
+): boolean {
+  if (table.returned.get(row.id)?.row.startedAtUnixMs === row.startedAtUnixMs) return true
+  const removed = table.removed.get(backendInstance.keyOf(row))
+  if (removed !== undefined) return removed.revision.era < revision.era
+  const known = table.entries.get(row.id)
+  if (known?.row.startedAtUnixMs !== row.startedAtUnixMs) return isHeldByPeer
+  return known.missing !== undefined && known.era < revision.era
+}
+
+/** Applies the removal of an instance that a peer remembers. @returns whether the rows in force changed. */
+export function noteRemoved (table: BackendTable, told: RemovedInstance, nowMs: number): boolean {
+  if (nowMs - told.atMs > REMOVED_RETENTION_MS) return false
+  const key = backendInstance.keyOf(told)
+  const known = table.removed.get(key)
+  if (known !== undefined && !revisionModule.isBefore(known.revision, told.revision)) return false
+  const entry = table.entries.get(told.id)
+  if (entry !== undefined && entry.row.startedAtUnixMs === told.startedAtUnixMs) {
+    // The store decides within an era, by the revisions of the tables.
+    const usableAtMs = entry.listedAtMs + RETURNED_ROW_DELAY_MS
+    const isFromCopy = entry.missing === undefined && told.revision.era < entry.era && !entry.isConfirmed
+    if (!isFromCopy || usableAtMs <= nowMs) return false
+    table.entries.delete(told.id)
+    table.returned.set(told.id, { row: entry.row, usableAtMs })
+  }
+  table.removed.set(key, told)
+  return entry !== undefined
 }
 
 function confirmMissing (table: BackendTable, changes: readonly BackendChange[], nowMs: number): void {
@@ -110,22 +180,28 @@
   }
 }
 
-function list (table: BackendTable, row: backendPool.BackendRow): void {
-  const known = table.entries.get(row.id)?.row
+function list (table: BackendTable, row: backendPool.BackendRow, isWritten: boolean, nowMs: number): void {
+  const { revision: { era } } = table
+  const entry = table.entries.get(row.id)
+  const isSame = entry?.row.startedAtUnixMs === row.startedAtUnixMs
+  const known = isSame && entry.missing === undefined && entry.era === era ? entry : undefined
   // An instance that drains never accepts work again: `ready` comes from an older copy of the store.
-  const isDraining = known?.state === 'draining' && isSameInstance(known, row)
-  table.entries.set(row.id, { row: isDraining ? { ...row, state: 'draining' } : row, missing: undefined })
-  table.removed.delete(row.id)
-}
-
-function isSameInstance (a: { startedAtUnixMs: number }, b: { startedAtUnixMs: number }): boolean {
   // 0: the row does not state the start, so it may be another instance.
-  return a.startedAtUnixMs === b.startedAtUnixMs && a.startedAtUnixMs !== 0
+  const earlier = isSame ? entry.row : table.removed.get(backendInstance.keyOf(row))
+  const isDraining = earlier?.state === 'draining' && row.startedAtUnixMs !== 0
+  if (entry !== undefined && !isSame) remember(table, entry.row, nowMs)
+  table.entries.set(row.id, {
+    row: isDraining ? { ...row, state: 'draining' } : row,
+    missing: undefined,
+    era,
+    listedAtMs: known?.listedAtMs ?? nowMs,
+    isConfirmed: isWritten || (known?.isConfirmed ?? false)
+  })
+  table.removed.delete(backendInstance.keyOf(row))
 }
 
-export function isRemovedInstance (table: BackendTable, row: backendPool.BackendRow | undefined): boolean {
-  const removed = row === undefined ? undefined : table.removed.get(row.id)
-  return removed !== undefined && isSameInstance(removed, row!)
+export function isRemovedInstance (table: BackendTable, row: backendPool.BackendRow): boolean {
+  return table.removed.has(backendInstance.keyOf(row))
 }
 
 function removeOrKeepForGrace (
@@ -139,10 +215,15 @@
 
 function remove (table: BackendTable, id: string, entry: TableEntry, nowMs: number): void {
   table.entries.delete(id)
+  remember(table, entry.row, nowMs)
+}
+
+function remember (table: BackendTable, { id, startedAtUnixMs, state }: backendPool.BackendRow, nowMs: number): void {
   for (const [other, { atMs }] of table.removed) {
     if (nowMs - atMs > REMOVED_RETENTION_MS) table.removed.delete(other)
   }
-  table.removed.set(id, { startedAtUnixMs: entry.row.startedAtUnixMs, atMs: nowMs })
+  const removed = { id, startedAtUnixMs, state, revision: table.revision, atMs: nowMs }
+  table.removed.set(backendInstance.keyOf(removed), removed)
 }
 
 /**
@@ -159,7 +240,7 @@
   for (const [id, { row, usableAtMs }] of table.returned) {
     if (usableAtMs > nowMs) continue
     table.returned.delete(id)
-    list(table, row)
+    list(table, row, true, nowMs)
     hasChanged = true
   }
   return hasChanged
