Use a row that a restored store lacked as soon as a read of that era lists it

What operators would see: after a restore, live servers whose rows the copy lacked are out of use for up to 6 s at a host that sees them again in a full read. Cause: a kept row counted as missing since the era in which it was listed last, so that its return looked like one from the copy. Change: a missing row tells the first revision at which it was missing, also to peers. Result: the new test failed before (the row held) and passes.

--- a/src/state/__tests__/table-document.spec.ts
+++ b/src/state/__tests__/table-document.spec.ts
@@ -199,6 +199,19 @@
   expect(ids(table)).toEqual(['a', 'b'])
 })
 
+// Guards against a live server that is out of use for seconds since a read, and no change, brings its row back.
+test('a row that the restored store lacked first is used as soon as a read of that era lists it', () => {
+  const table = tableOf(['a', 'b'])
+  backendTable.replaceAll(table, rows('b'), at(4, 1), 2_000)
+  const cutOff = tableOf(['a', 'b'])
+  tableDocument.mergeTable(cutOff, passOn(table, 2_100), 2_100)
+  for (const host of [table, cutOff]) {
+    backendTable.replaceAll(host, rows('a', 'b'), at(6, 1), 3_000)
+    backendTable.settle(host, 5_000)
+    expect(ids(host)).toEqual(['a', 'b'])
+  }
+})
+
 // Guards against a server that drained before its row went, and that is ready in the copy.
 test('an instance that drained before its removal stays draining', () => {
   const table = tableOf(['a'])
--- a/src/state/backend-table.ts
+++ b/src/state/backend-table.ts
@@ -33,6 +33,8 @@
 export interface MissingSpan {
   /** Latest revision at which it was listed. */
   listedAt: revisionModule.Revision
+  /** First revision at which it was missing. */
+  since: revisionModule.Revision
   /** When it is removed. */
   goneAtMs: number
 }
@@ -151,7 +153,7 @@
   if (removed !== undefined) return removed.revision.era < revision.era
   const known = table.entries.get(row.id)
   if (known?.row.startedAtUnixMs !== row.startedAtUnixMs) return isHeldByPeer
-  return known.missing !== undefined && known.era < revision.era
+  return known.missing !== undefined && known.missing.since.era < revision.era
 }
 
 /** Applies the removal of an instance that a peer remembers. @returns whether the rows in force changed. */
@@ -209,7 +211,7 @@
 ): void {
   const entry = table.entries.get(id)
   if (entry === undefined) return
-  if (nowMs < table.graceUntilMs) entry.missing ??= { listedAt, goneAtMs: table.graceUntilMs }
+  if (nowMs < table.graceUntilMs) entry.missing ??= { listedAt, since: table.revision, goneAtMs: table.graceUntilMs }
   else remove(table, id, entry, nowMs)
 }
 
--- a/src/state/table-document.ts
+++ b/src/state/table-document.ts
@@ -24,6 +24,8 @@
   row: backendPool.BackendRow
   /** Latest revision at which the sender knows the row to have been listed. */
   listedAt: revisionModule.Revision
+  /** First revision at which it was missing. */
+  since: revisionModule.Revision
   /** For how much longer the sender keeps it. */
   keptMs: number
 }
@@ -47,7 +49,9 @@
     backends: entries.filter(entry => entry.missing === undefined).map(entry => entry.row),
     missing: entries.flatMap(({ row, missing }) => missing === undefined || missing.goneAtMs <= nowMs
       ? []
-      : [{ row, listedAt: missing.listedAt, keptMs: Math.ceil(missing.goneAtMs - nowMs) }]),
+      : [{
+          row, listedAt: missing.listedAt, since: missing.since, keptMs: Math.ceil(missing.goneAtMs - nowMs)
+        }]),
     returned: [...table.returned.values()].map(({ row, usableAtMs }) =>
       ({ row, usableInMs: Math.max(0, Math.ceil(usableAtMs - nowMs)) })),
     removed: encodeRemoved(table, nowMs)
@@ -91,7 +95,7 @@
  * @returns whether it is kept.
  */
 function keepMissing (
-  table: backendTable.BackendTable, { row, listedAt, keptMs }: MissingRow, nowMs: number
+  table: backendTable.BackendTable, { row, listedAt, since, keptMs }: MissingRow, nowMs: number
 ): boolean {
   const entry = table.entries.get(row.id)
   if (entry === undefined) {
@@ -101,7 +105,7 @@
   const goneAtMs = nowMs + Math.min(keptMs, backendTable.STORE_RECOVERY_GRACE_MS)
   table.entries.set(row.id, {
     row: entry?.row ?? row,
-    missing: entry?.missing ?? { listedAt, goneAtMs },
+    missing: entry?.missing ?? { listedAt, since, goneAtMs },
     era: entry?.era ?? listedAt.era,
     listedAtMs: entry?.listedAtMs ?? nowMs,
     isConfirmed: entry?.isConfirmed ?? false
