Keep what is known of a backend server when its row lapses and returns

What operators would see: a server that asked for a pause with 503 and Retry-After gets requests in it, from each entry, after its row lapsed and came back. Cause: the pause was kept in the record that setRows dropped with the row; so were ejections, replaced addresses, the load and the requests in flight. Trouble of a group went with the rows of its ranks. Change: a record outlives its row for 60 s, or for a longer pause, and counts again for the same id, start and address. Trouble of a group is kept for as long. Limits and leaving were kept apart from rows already; blame is by parts of prompts. setRows takes the time; its callers in tests pass it, nothing else in them changes.

--- a/src/coordination/gateway/__tests__/limit-simulation.ts
+++ b/src/coordination/gateway/__tests__/limit-simulation.ts
@@ -188,7 +188,7 @@
 
   #createEntry (number: number): SimulatedEntry {
     const pool = backendPool.createPool()
-    backendPool.setRows(pool, this.servers.map(server => server.row))
+    backendPool.setRows(pool, this.servers.map(server => server.row), 0)
     const controller = new AbortController()
     events.EventEmitter.setMaxListeners(0, controller.signal)
     const runtime = {
--- a/src/coordination/gateway/__tests__/service-queue.spec.ts
+++ b/src/coordination/gateway/__tests__/service-queue.spec.ts
@@ -19,7 +19,7 @@
     state: 'ready' as const,
     startedAtUnixMs: 1,
     group: undefined
-  })))
+  })), 0)
   controller = new AbortController()
   queue = new serviceQueue.ServiceQueue({
     runtime: { nowMs: () => 0, random: () => 0.5, log: { emit: () => {} }, metrics: {} as never },
@@ -78,7 +78,7 @@
     state: 'ready' as const,
     startedAtUnixMs: 1,
     group: { name: 'g', epoch: 0, rank, isOpen: false, size: 3 }
-  })))
+  })), 0)
   let refused = 0
   for (let call = 0; call < 8; call++) {
     acquire(`c${call}`).then(result => { if (result.kind === 'refused') refused += 1 })
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -80,7 +80,7 @@
       wanted: 'all',
       onConfiguration: table => { this.#applyLimits(table) },
       onBackends: rows => {
-        backendPool.setRows(this.#pool, rows)
+        backendPool.setRows(this.#pool, rows, env.nowMs())
         this.#context.queue.placeWaiting()
       },
       signal
--- a/src/state/__tests__/backend-pool.spec.ts
+++ b/src/state/__tests__/backend-pool.spec.ts
@@ -14,7 +14,7 @@
     state: 'ready',
     startedAtUnixMs: 1,
     group: { name: 'g', epoch: 2, rank: 0, isOpen: true, size: 2 }
-  }])
+  }], 0)
   return pool.backends.get('r0')!
 }
 
@@ -57,17 +57,17 @@
 // Guards against a request that is sent to one earlier instance after the other, after all hosts lost power.
 test('a group is avoided after several replaced ranks in a row, until it forms again', () => {
   const pool = backendPool.createPool()
-  backendPool.setRows(pool, rowsIn(1))
+  backendPool.setRows(pool, rowsIn(1), 0)
   for (const id of ['r5', 'r9', 'r17']) backendPool.noteResult(pool, pool.backends.get(id)!, 'replaced', 0)
   expect(placeAt(pool, 10)).toBe('none')
-  backendPool.setRows(pool, rowsIn(2))
+  backendPool.setRows(pool, rowsIn(2), 0)
   expect(placeAt(pool, 20)).toBe('backend')
 })
 
 // Guards against avoiding a whole group because one restarted rank's row stays outdated during an outage of the store.
 test('a single replaced rank does not lead to avoiding its group', () => {
   const pool = backendPool.createPool()
-  backendPool.setRows(pool, rowsIn(1))
+  backendPool.setRows(pool, rowsIn(1), 0)
   for (let atMs = 0; atMs < 20_000; atMs += 500) {
     backendPool.noteResult(pool, pool.backends.get('r5')!, 'replaced', atMs)
     expect(placeAt(pool, atMs + 10)).toBe('backend')
--- a/src/state/__tests__/placement-simulation.ts
+++ b/src/state/__tests__/placement-simulation.ts
@@ -123,6 +123,6 @@
     state: 'ready' as const,
     startedAtUnixMs: 1,
     group: { name: 'g', epoch: 1, rank, isOpen: true, size: load.ranks }
-  })))
+  })), 0)
   return pool
 }
--- a/src/state/__tests__/placement.spec.ts
+++ b/src/state/__tests__/placement.spec.ts
@@ -16,7 +16,7 @@
     state: 'ready' as const,
     startedAtUnixMs: 1,
     group: undefined
-  })))
+  })), 0)
   return pool
 }
 
@@ -68,7 +68,7 @@
   backendPool.setRows(pool, [
     { ...rows[0]!, state: 'draining' },
     { ...rows[1]!, group: { name: 'g', epoch: 1, rank: 0, isOpen: false, size: 2 } }
-  ])
+  ], 0)
   expect(placeOn(pool, 0).kind).toBe('none')
 })
 
@@ -78,7 +78,7 @@
   for (const { row } of [...pool.backends.values()]) {
     backendPool.setRows(pool, [...pool.backends.values()].map(other => other.row.id !== row.id
       ? other.row
-      : { ...row, group: { name: 'g', epoch: 1, rank: 0, isOpen: true, size: 2 } }))
+      : { ...row, group: { name: 'g', epoch: 1, rank: 0, isOpen: true, size: 2 } }), 0)
   }
   const [slow, healthy] = [pool.backends.get('s0')!, pool.backends.get('s1')!]
   backendPool.noteLoad(slow, { running: 0, waiting: 0, slots: 8, slowdown: 3.9, cacheTokensUsed: 0 }, 0)
@@ -104,7 +104,7 @@
   const backend = pool.backends.get('s0')!
   backendPool.noteSent(backend, 1, 0)
   backendPool.noteResult(pool, backend, 'failed', 0)
-  backendPool.setRows(pool, [{ ...backend.row, startedAtUnixMs: 2 }])
+  backendPool.setRows(pool, [{ ...backend.row, startedAtUnixMs: 2 }], 0)
   expect(pool.backends.get('s0')!.inFlight).toBe(0)
   expect(pool.backends.get('s0')!.failuresInRow).toBe(0)
 })
@@ -115,7 +115,7 @@
   const rows = [...pool.backends.values()].map(backend => backend.row)
   for (const backend of pool.backends.values()) backendPool.noteResult(pool, backend, 'replaced', 0)
   expect(placeOn(pool, 10).kind).toBe('none')
-  backendPool.setRows(pool, [rows[0]!, { ...rows[1]!, startedAtUnixMs: 2 }])
+  backendPool.setRows(pool, [rows[0]!, { ...rows[1]!, startedAtUnixMs: 2 }], 0)
   const placed = placeOn(pool, 20)
   expect(placed.kind === 'backend' && placed.backend.row.id).toBe('s1')
 })
@@ -150,7 +150,7 @@
   const pool = poolOf(4)
   const rows = [...pool.backends.values()].map(({ row }, rank) =>
     ({ ...row, group: { name: 'g', epoch: 1, rank, isOpen: true, size: 4 } }))
-  backendPool.setRows(pool, rows)
+  backendPool.setRows(pool, rows, 0)
   for (let request = 0; request < 16; request++) {
     const placed = placeOn(pool, 5_000 + request)
     if (placed.kind === 'backend') backendPool.noteSent(placed.backend, 1, 5_000 + request)
--- a/src/state/backend-pool.ts
+++ b/src/state/backend-pool.ts
@@ -4,6 +4,7 @@
  */
 
 import * as backendLimits from './backend-limits.js'
+import * as retiredBackends from './retired-backends.js'
 import type * as backendInstance from './backend-instance.js'
 
 export type BackendState = 'ready' | 'draining'
@@ -74,6 +75,8 @@
 export interface BackendPool {
   options: PoolOptions
   backends: Map<string, Backend>
+  /** Instances whose rows are gone and may return. */
+  retired: retiredBackends.RetiredBackends
   limits: backendLimits.BackendLimits
   /** When each instance that leaves announced it, by id and start; kept without the row, which may return. */
   leavingSinceMs: Map<string, number>
@@ -83,6 +86,8 @@
   replacedRanks: Map<string, Set<string>>
   /** Until when groups are avoided that a rank called broken; by group and epoch. */
   brokenUntilMs: Map<string, number>
+  /** When each group had a row last; by group and epoch. */
+  groupListedAtMs: Map<string, number>
   /** Smoothed time from sending a request to its first event or complete response, by service. */
   firstResponseMs: Map<string, number>
   /** Usual time since the last sign of life of a group's ranks, by name of the group. */
@@ -115,31 +120,49 @@
   return {
     options,
     backends: new Map(),
+    retired: new Map(),
     limits: backendLimits.createLimits(),
     leavingSinceMs: new Map(),
     progress: new Map(),
     replacedRanks: new Map(),
     brokenUntilMs: new Map(),
+    groupListedAtMs: new Map(),
     firstResponseMs: new Map(),
     usualSilence: new Map()
   }
 }
 
-/** Sets the rows in force. What was recorded for another incarnation under the same id is dropped. */
-export function setRows (pool: BackendPool, rows: readonly BackendRow[]): void {
-  const known = new Set(rows.map(row => row.id))
-  for (const id of pool.backends.keys()) if (!known.has(id)) pool.backends.delete(id)
-  const groups = new Set(rows.map(row => row.group === undefined ? '' : groupKey(row.group)))
-  for (const byGroup of [pool.replacedRanks, pool.brokenUntilMs]) {
-    for (const key of byGroup.keys()) if (!groups.has(key)) byGroup.delete(key)
+/**
+ * Sets the rows in force. What was recorded for another incarnation under the same id is dropped; what is known of one
+ * whose row is gone is kept for a time, since the row may return.
+ */
+export function setRows (pool: BackendPool, rows: readonly BackendRow[], nowMs: number): void {
+  const listed = new Map(rows.map(row => [row.id, row]))
+  for (const [id, backend] of pool.backends) {
+    const row = listed.get(id)
+    if (row !== undefined && isSameBackend(backend, row)) continue
+    pool.backends.delete(id)
+    retiredBackends.retire(pool.retired, backend, nowMs)
   }
+  forgetGroups(pool, rows, nowMs)
   for (const row of rows) {
-    const backend = pool.backends.get(row.id)
-    const isSame = backend?.row.startedAtUnixMs === row.startedAtUnixMs && backend.row.address === row.address
-    if (backend !== undefined && isSame) {
-      if (backend.row.group?.epoch !== row.group?.epoch) backend.replacedUntilMs = 0
-      backend.row = row
-    } else pool.backends.set(row.id, newBackend(row))
+    const backend = pool.backends.get(row.id) ?? retiredBackends.reinstate(pool.retired, row, nowMs) ?? newBackend(row)
+    if (backend.row.group?.epoch !== row.group?.epoch) backend.replacedUntilMs = 0
+    backend.row = row
+    pool.backends.set(row.id, backend)
+  }
+}
+
+function isSameBackend (backend: Backend, row: BackendRow): boolean {
+  return backend.row.startedAtUnixMs === row.startedAtUnixMs && backend.row.address === row.address
+}
+
+/** Forgets what is known of groups whose rows have been gone for long; those of all ranks may lapse for a moment. */
+function forgetGroups (pool: BackendPool, rows: readonly BackendRow[], nowMs: number): void {
+  for (const { group } of rows) if (group !== undefined) pool.groupListedAtMs.set(groupKey(group), nowMs)
+  for (const [key, listedAtMs] of pool.groupListedAtMs) {
+    if (nowMs - listedAtMs <= retiredBackends.RETENTION_MS) continue
+    for (const byGroup of [pool.groupListedAtMs, pool.replacedRanks, pool.brokenUntilMs]) byGroup.delete(key)
   }
 }
 
