Take the types of the pool out of what is kept without a row

Cause: the pool and the records kept without a row imported each other's types, which check-boundary.js reports as a cycle. Change: the records name the fields that they need.

--- a/src/state/backend-pool.ts
+++ b/src/state/backend-pool.ts
@@ -76,7 +76,7 @@
   options: PoolOptions
   backends: Map<string, Backend>
   /** Instances whose rows are gone and may return. */
-  retired: retiredBackends.RetiredBackends
+  retired: retiredBackends.RetiredBackends<Backend>
   limits: backendLimits.BackendLimits
   /** When each instance that leaves announced it, by id and start; kept without the row, which may return. */
   leavingSinceMs: Map<string, number>
