End a stream's attempt when it is aborted behind a slow reader

What callers saw: a stream that was cut off at the deadline or the end of the process could look complete, without its last events, to a client that reads slowly; or its attempt never ended and kept its slot.

Cause: once the backend server's connection has ended, aborting the call has no effect on a paused source, and the end that follows when the client reads on completed the response.

--- a/src/coordination/gateway/stream-attempt.ts
+++ b/src/coordination/gateway/stream-attempt.ts
@@ -86,10 +86,16 @@
         response.once('drain', () => { source.resume() })
       }
     })
+    // After the end of the connection, aborting the call has no effect on a source that is paused.
+    const onAborted = (): void => { fail('the attempt was ended') }
+    if (options.signal.aborted) onAborted()
+    else options.signal.addEventListener('abort', onAborted, { once: true })
     source.on('error', error => { fail(error.message) })
     source.on('close', () => { fail('the connection was closed') })
     source.on('end', () => {
-      if (!answerEnd.isWhole(options.request, source)) fail('the stream ended early')
+      options.signal.removeEventListener('abort', onAborted)
+      if (options.signal.aborted) fail('the attempt was ended')
+      else if (!answerEnd.isWhole(options.request, source)) fail('the stream ended early')
       else if (splitter.hasPartialEvent) fail('the stream ended within an event')
       else if (!progress.hasHead) fail('the stream has no event')
       else if (isContinued && progress.lastEventId === continuedAfterId) fail('the stream has no further event')
