Answer open requests also when the process is held up at the end of its shutdown

What callers saw: no answer when the process was held up (frozen or busy) over the last moment to answer until its exit.

Cause: the loop ended by the clock without a last word to the open requests. Change: they are told after the loop, with 50 ms to send it. How requests end moves to call-end.ts, their state to call-history.ts. shutdown.ts no longer takes part in an import cycle.

--- /dev/null
+++ b/src/coordination/gateway/call-history.ts
@@ -0,0 +1,45 @@
+/**
+ * State of a request across its attempts.
+ */
+
+import type * as serviceTimes from '../../state/service-times.js'
+import type * as callModule from './call.js'
+import type * as streamAttempt from './stream-attempt.js'
+
+export interface CallHistory {
+  /** Backend servers that did not accept or did not complete the request. */
+  excluded: Set<string>
+  /** Number of backend servers on which the request may have run. */
+  runs: number
+  /** Number of backend servers that the request was sent to. */
+  offers: number
+  progress: streamAttempt.StreamProgress
+  lastFailure: string
+  /** An error response of a backend server, forwarded if no later attempt succeeds. */
+  failedResponse: callModule.WholeResponse | undefined
+  /** Undefined until the first attempt. */
+  timing: serviceTimes.RunningRequest | undefined
+  /** Whether the client has got a whole response. */
+  isDelivered: boolean
+}
+
+/** @param lastEventId event after which the client resumes a stream; undefined for a new request. */
+export function createHistory (lastEventId: number | undefined): CallHistory {
+  return {
+    excluded: new Set(),
+    runs: 0,
+    offers: 0,
+    progress: {
+      hasHead: false,
+      mediaType: undefined,
+      lastEventId,
+      events: 0,
+      firstEventAtMs: undefined,
+      lastEventAtMs: undefined
+    },
+    lastFailure: '',
+    failedResponse: undefined,
+    timing: undefined,
+    isDelivered: false
+  }
+}
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -18,6 +18,7 @@
 import * as sharedDocuments from '../cluster/shared-documents.js'
 import * as tableWatch from '../cluster/table-watch.js'
 import * as blameRecord from './blame-record.js'
+import * as callEnd from './call-end.js'
 import * as limitGate from './limit-gate.js'
 import * as serveCall from './serve-call.js'
 import * as serviceQueue from './service-queue.js'
@@ -160,7 +161,7 @@
     await this.#peers.open()
     this.#clientServer = await this.#listen(this.#options.clientAddress, (request, response) => {
       serveCall.serveCall(this.#context, request, response).catch((error: Error) => {
-        serveCall.endFaultyCall(response)
+        callEnd.endFaultyCall(response)
         this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
       })
     })
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -11,6 +11,8 @@
 import * as waitQueue from '../../state/wait-queue.js'
 import * as attempt from './attempt.js'
 import * as callModule from './call.js'
+import * as callEnd from './call-end.js'
+import * as callHistory from './call-history.js'
 import * as readBody from './read-body.js'
 import * as retries from './retries.js'
 import * as replies from './reply.js'
@@ -19,7 +21,6 @@
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as crashSuspects from '../../state/crash-suspects.js'
 import type * as context from './context.js'
-import type * as suspectGate from './suspect-gate.js'
 
 /** Time reserved before the client's deadline for the response to reach the client. */
 const RESPONSE_TRANSIT_MS = 10
@@ -51,7 +52,7 @@
   const limits = routing.configuration.limits
   const body = await readBody.readBody(request, limits.maxBodyBytes, remainingMsOf(head), signal)
   if (body.kind === 'aborted') {
-    endAborted(signal, reply, false, 'before the request was complete')
+    callEnd.endAborted(signal, reply, false, 'before the request was complete')
     return
   }
   if (body.kind === 'too_large') {
@@ -82,18 +83,6 @@
   }
 }
 
-/** Ends a request that its client has left, or that is open when the process is about to exit. */
-function endAborted (signal: AbortSignal, reply: replies.Reply, mayHaveRun: boolean, when: string): void {
-  if (shutdown.isStopping(signal)) reply.timedOut(mayHaveRun, 'process_stopping')
-  else reply.clientGone(when)
-}
-
-/** Answers a request whose handling failed with an unexpected error. It may have run. */
-export function endFaultyCall (response: http.ServerResponse): void {
-  if (response.headersSent) response.destroy()
-  else response.writeHead(502, { 'Content-Length': 0, Connection: 'close' }).end()
-}
-
 function remainingMsOf (head: callCodec.CallHead): number {
   return Math.min(head.remainingMs ?? DEFAULT_REMAINING_MS, MAX_REMAINING_MS)
 }
@@ -152,42 +141,8 @@
   }
 }
 
-/** State of a request across its attempts. */
-interface CallHistory {
-  /** Backend servers that did not accept or did not complete the request. */
-  excluded: Set<string>
-  /** Number of backend servers on which the request may have run. */
-  runs: number
-  /** Number of backend servers that the request was sent to. */
-  offers: number
-  progress: streamAttempt.StreamProgress
-  lastFailure: string
-  /** An error response of a backend server, forwarded if no later attempt succeeds. */
-  failedResponse: callModule.WholeResponse | undefined
-  /** Undefined until the first attempt. */
-  timing: serviceTimes.RunningRequest | undefined
-  /** Whether the client has got a whole response. */
-  isDelivered: boolean
-}
-
 async function runCall (ctx: context.GatewayContext, call: callModule.Call, reply: replies.Reply): Promise<void> {
-  const history: CallHistory = {
-    excluded: new Set(),
-    runs: 0,
-    offers: 0,
-    progress: {
-      hasHead: false,
-      mediaType: undefined,
-      lastEventId: call.head.lastEventId,
-      events: 0,
-      firstEventAtMs: undefined,
-      lastEventAtMs: undefined
-    },
-    lastFailure: '',
-    failedResponse: undefined,
-    timing: undefined,
-    isDelivered: false
-  }
+  const history = callHistory.createHistory(call.head.lastEventId)
   try {
     await offerUntilDone(ctx, call, history, reply)
   } finally {
@@ -197,7 +152,7 @@
 }
 
 async function offerUntilDone (
-  ctx: context.GatewayContext, call: callModule.Call, history: CallHistory, reply: replies.Reply
+  ctx: context.GatewayContext, call: callModule.Call, history: callHistory.CallHistory, reply: replies.Reply
 ): Promise<void> {
   const tokens = call.head.promptTokens +
     (call.engine === undefined ? 0 : callModule.expectedOutputTokens(call.head, call.engine))
@@ -205,10 +160,17 @@
   for (;;) {
     const entered = await ctx.suspects.enter(call, latestStartMs(ctx, call, history, serviceMs))
     if (entered !== 'open') {
-      endSuspected(call, history, reply, entered)
+      callEnd.endSuspected(call, history, reply, entered)
       return
     }
     const queuedAtMs = ctx.nowMs()
+    // A request that waited for the trial of another one may no longer fit into the shutdown.
+    if (ctx.shutdown.latestStartMs(call, serviceMs) < queuedAtMs) {
+      ctx.suspects.leave(call)
+      const retryAfterMs = ctx.shutdown.retryAfterMs(call.clientDeadlineAtMs - queuedAtMs)
+      callEnd.giveUp(call, history, reply, 'process_stopping', retryAfterMs)
+      return
+    }
     const firstResponseMs = backendPool.firstResponseMs(ctx.pool, call.service)
     const placed = await ctx.queue.acquire({
       call: {
@@ -228,11 +190,11 @@
     })
     if (placed.kind !== 'placed') ctx.suspects.leave(call)
     if (placed.kind === 'aborted') {
-      endAborted(call.signal, reply, history.runs > 0, 'while the request waited')
+      callEnd.endWaiting(call, history, reply)
       return
     }
     if (placed.kind === 'refused') {
-      giveUp(call, history, reply, placed.reason, placed.retryAfterMs)
+      callEnd.giveUp(call, history, reply, placed.reason, placed.retryAfterMs)
       return
     }
     const { backend } = placed
@@ -271,7 +233,7 @@
  * before the client gives up because no event arrives.
  */
 function latestStartMs (
-  ctx: context.GatewayContext, call: callModule.Call, history: CallHistory, serviceMs: number
+  ctx: context.GatewayContext, call: callModule.Call, history: callHistory.CallHistory, serviceMs: number
 ): number {
   const byDeadlineMs = Math.min(call.deadlineAtMs - serviceMs, ctx.shutdown.latestStartMs(call, serviceMs))
   if (!call.route.isStream) return byDeadlineMs
@@ -294,8 +256,8 @@
 type NextStep = 'done' | 'again' | 'again_later'
 
 function handleOutcome (
-  ctx: context.GatewayContext, call: callModule.Call, history: CallHistory, outcome: callModule.AttemptOutcome,
-  backendId: string, reply: replies.Reply
+  ctx: context.GatewayContext, call: callModule.Call, history: callHistory.CallHistory,
+  outcome: callModule.AttemptOutcome, backendId: string, reply: replies.Reply
 ): NextStep {
   history.offers += 1
   switch (outcome.kind) {
@@ -337,13 +299,14 @@
 
 /** Continues after an attempt that may have run. @param isGranted whether the budget already granted the retry. */
 function retryOrEnd (
-  ctx: context.GatewayContext, call: callModule.Call, history: CallHistory, reply: replies.Reply, isGranted = false
+  ctx: context.GatewayContext, call: callModule.Call, history: callHistory.CallHistory, reply: replies.Reply,
+  isGranted = false
 ): NextStep {
   const mayRun = routingTable.mayRepeat(call.route) && history.runs < call.route.maxServers &&
     streamAttempt.canContinue(history.progress)
   if (mayRun && isGranted) return 'again'
   if (mayRun && retries.hasTimeLeft(ctx, call) && call.retries.take()) return 'again'
-  sendFailure(history, reply)
+  callEnd.sendFailure(history, reply)
   return 'done'
 }
 
@@ -352,44 +315,11 @@
  * the budget.
  */
 function offerAgainOrEnd (
-  ctx: context.GatewayContext, call: callModule.Call, history: CallHistory, reply: replies.Reply,
+  ctx: context.GatewayContext, call: callModule.Call, history: callHistory.CallHistory, reply: replies.Reply,
   wasUnreachable: boolean
 ): NextStep {
   const mayOffer = history.offers < MAX_OFFERS && retries.hasTimeLeft(ctx, call)
   if (mayOffer && (wasUnreachable || call.retries.take())) return 'again_later'
-  giveUp(call, history, reply, 'not_taken', 200)
+  callEnd.giveUp(call, history, reply, 'not_taken', 200)
   return 'done'
 }
-
-/** Pause after which a client may send a request again that waited for the trial of another one. */
-const SUSPECTED_RETRY_AFTER_MS = 300
-
-/** Ends a request that would crash a backend server, or that waited in vain to learn whether it would. */
-function endSuspected (
-  call: callModule.Call, history: CallHistory, reply: replies.Reply, result: Exclude<suspectGate.EnterResult, 'open'>
-): void {
-  if (result === 'aborted') endAborted(call.signal, reply, history.runs > 0, 'while the request waited')
-  else if (result === 'too_late') giveUp(call, history, reply, 'suspected', SUSPECTED_RETRY_AFTER_MS)
-  else if (history.progress.hasHead) reply.cut('request_crashes_backend_servers')
-  else reply.reject(500, 'request_crashes_backend_servers')
-}
-
-/** Ends a request for which no backend server was found. */
-function giveUp (
-  call: callModule.Call, history: CallHistory, reply: replies.Reply, reason: string, retryAfterMs: number
-): void {
-  // A repeatable request may be refused even if an earlier attempt may have run: running it again is harmless.
-  if (history.runs === 0 || (routingTable.mayRepeat(call.route) && !history.progress.hasHead)) {
-    if (history.failedResponse === undefined) {
-      reply.refuse(reason, retryAfterMs)
-      return
-    }
-  }
-  sendFailure(history, reply)
-}
-
-function sendFailure (history: CallHistory, reply: replies.Reply): void {
-  if (history.progress.hasHead) reply.cut(history.lastFailure)
-  else if (history.failedResponse !== undefined) reply.forwardFailure(history.failedResponse)
-  else reply.fail(502, history.lastFailure)
-}
--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -9,7 +9,6 @@
 import * as waitQueue from '../../state/wait-queue.js'
 import type * as http from 'node:http'
 import type * as runtime from '../runtime.js'
-import type * as callModule from './call.js'
 
 export interface ShutdownOptions {
   runtime: runtime.Runtime
@@ -19,12 +18,20 @@
   hasReadyPeer: () => boolean
 }
 
+interface StoppableCall {
+  route: { name: string }
+  deadlineAtMs: number
+}
+
 /** Why the handling of a request was aborted; the reason of its signal. */
 export type AbortCause = 'client' | 'shutdown'
 
 /** Pause before a refused client tries another entry. */
 const OTHER_ENTRY_RETRY_MS = 50
 const POLL_MS = 20
+/** Time to send the last answers. */
+const FLUSH_MS = 50
+const FLUSH_POLL_MS = 5
 
 export class Shutdown {
   /** Durations of requests at backend servers. */
@@ -60,7 +67,7 @@
   }
 
   /** Latest time to send a request to a backend server; Infinity while the process does not stop. */
-  latestStartMs (call: Pick<callModule.Call, 'route' | 'deadlineAtMs'>, expectedMs: number): number {
+  latestStartMs (call: StoppableCall, expectedMs: number): number {
     if (this.#window === undefined) return Infinity
     const neededMs = serviceTimes.neededMs(this.times, call.route.name, expectedMs, this.#options.runtime.nowMs())
     return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, neededMs)
@@ -94,6 +101,10 @@
       }
       await timers.setTimeout(POLL_MS)
     }
+    // The process may have been held up until now.
+    this.#abortOpen()
+    const flushedByMs = nowMs() + FLUSH_MS
+    while (this.#open.size > 0 && nowMs() < flushedByMs) await timers.setTimeout(FLUSH_POLL_MS)
     if (this.#open.size > 0) log.emit('drainOverdue', { requests: this.#open.size })
   }
 
