Answer calls of the product's entry that outlast its drain timeout

Cause: the same class as at the platform's entry: nothing ties an accepted call to the end of the process.

Change: at 90% of the drain timeout, each call without a response that has begun is answered with 504, may_have_run.

Open: the entry accepts for 7 s whatever its drain timeout is.

--- a/src/coordination/call-handler.ts
+++ b/src/coordination/call-handler.ts
@@ -39,6 +39,8 @@
   handle (request: http.IncomingMessage, response: http.ServerResponse): Promise<void>
   /** Calls that have not ended. */
   inFlight (): number
+  /** Answers all calls whose responses have not begun, because the process is about to exit. */
+  endOpen (): void
 }
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -48,8 +50,11 @@
 
 export function createCallHandler (env: environment.Environment, parts: CallHandlerParts): CallHandler {
   let inFlight = 0
+  /** Calls that may have been sent to a backend server, with what answers them before the process exits. */
+  const open = new Set<() => void>()
   return {
     inFlight: () => inFlight,
+    endOpen: () => { for (const end of open) end() },
     async handle (request, response) {
       const startedAtMs = env.nowMs()
       inFlight += 1
@@ -77,14 +82,26 @@
     }, team, env.nowMs())
     if (parsed.kind === 'refused') return fail(parsed)
     const callerDisconnected = new AbortController()
-    response.once('close', () => { if (!response.writableFinished) callerDisconnected.abort() })
+    response.once('close', () => {
+      open.delete(end)
+      if (!response.writableFinished) callerDisconnected.abort()
+    })
+    open.add(end)
     const refusal = parsed.call.resumeFrom === undefined
       ? await admitCall(parsed.call, request, response, callerDisconnected.signal)
       : await resumeCall(parsed.call, parsed.call.resumeFrom, response, callerDisconnected.signal)
     if (refusal !== undefined) return fail(refusal)
     env.metrics.count('entry.requests', 1, { outcome: 'completed' })
 
+    function end (): void {
+      if (response.headersSent) return
+      fail(outcomes.refuse('answer_interrupted', 504, 'may_have_run', 'the entry exits before the call has ended'))
+      callerDisconnected.abort()
+    }
+
     function fail (reason: outcomes.Refusal): void {
+      // The call was answered when the process was about to exit.
+      if (response.headersSent) return
       env.log.emit('requestRefused', { requestId, team: team?.name, reason: reason.reason, outcome: reason.outcome })
       env.metrics.count('entry.requests', 1, { outcome: reason.outcome })
       env.metrics.count('entry.refused', 1, { reason: reason.reason })
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -110,6 +110,8 @@
   drain: () => Promise<void>
 }
 
+/** Share of the drain timeout after which calls are answered that have not ended. */
+const ANSWER_FRACTION = 0.9
 const HOST_REFRESH_PERIOD_MS = 1_000
 const METRICS_PERIOD_MS = 5_000
 /** A reachable peer answers within this time; when none has, the table service is read. */
@@ -281,7 +283,10 @@
 
   async function drainUntilEmpty (): Promise<void> {
     drain.set('terminated', true)
+    // Callers learn of calls that don't end in time; otherwise the exit would close their connections without a word.
+    const lastAnswers = setTimeout(() => { calls.endOpen() }, options.drainTimeoutMs * ANSWER_FRACTION)
     await gate.waitUntilDrained()
+    clearTimeout(lastAnswers)
     env.log.emit('drainFinished')
   }
 
