gateway: crashes after the first event have a cause too

Change: every interrupted request is noted with the number of events that had arrived. state/crash-recurrence.ts counts the crashes of each feature: at three incarnations over half a second or more, and no response that ended whole since, it is blamed without a trial, and only a response that ends whole (with a length or chunks, from its start) clears it. Parts with which more responses went on past the point of the crashes are set aside; if parts of different requests remain, they are tried one at a time, as before the first event. One connection probe serves all connections that break at once. crash-causes.ts is split off crash-suspects.ts.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -42,13 +42,13 @@
   progress: streamAttempt.StreamProgress, isRetryAllowed: boolean, tried: readonly string[]
 ): Promise<call.AttemptOutcome> {
   const startedAtMs = ctx.nowMs()
-  const watch = new AttemptWatch(ctx, request, backend, isRetryAllowed)
+  const watch = new AttemptWatch(ctx, request, backend, isRetryAllowed, progress.lastEventId !== undefined)
   try {
     const outcome = await runAttempt(ctx, request, backend, progress, watch)
     noteOutcome(ctx, request, backend, outcome)
     // The next attempt depends on whether this request may have crashed the backend server.
-    if (outcome.kind === 'failed' && watch.stopReason === undefined && !watch.hasResponded) {
-      await ctx.suspects.noteBroken(request, backend.row, tried)
+    if (outcome.kind === 'failed' && watch.stopReason === undefined) {
+      await ctx.suspects.noteBroken(request, backend.row, tried, watch.events)
     }
     ctx.metrics.attempts.inc({ outcome: outcome.kind })
     ctx.log.emit('attemptEnded', {
@@ -122,10 +122,14 @@
       },
       signal: watch.signal
     })
+    if (outcome.kind === 'delivered' && isFramed(response)) watch.noteWhole()
     return outcome.kind === 'failed' && watch.signal.aborted ? watch.outcome(true) : outcome
   }
   const whole = await wholeResponse.readWholeResponse(response, connection, ctx.responseBuffers)
-  if (whole.kind === 'whole') watch.noteEvent()
+  if (whole.kind === 'whole') {
+    watch.noteEvent()
+    if (status < 400 && whole.framing === 'length') watch.noteWhole()
+  }
   if (whole.kind === 'whole') return { kind: 'response', status, headers, body: whole.body, framing: whole.framing }
   return watch.signal.aborted ? watch.outcome(true) : { kind: 'failed', reason: whole.reason }
 }
@@ -145,6 +149,11 @@
   }
 }
 
+/** Whether the end of a response shows that it is whole: a backend server that crashes also closes its connections. */
+function isFramed ({ headers }: http.IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 function dropResponse (response: http.IncomingMessage): void {
   response.on('error', () => {})
   response.destroy()
@@ -158,18 +167,24 @@
   readonly #controller = new AbortController()
   readonly #deadlineTimer: NodeJS.Timeout
   readonly #isRetryAllowed: boolean
+  /** A stream that goes on where an earlier attempt broke off shows nothing of what crashed that one. */
+  readonly #isResumed: boolean
   readonly #sentAtMs: number
   readonly #call: call.Call
   #silenceTimeoutMs: number
   #silentSinceMs: number
-  /** Whether an event or a whole response has arrived. */
-  hasResponded = false
+  /** Number of events that have arrived; a whole response counts as one. */
+  events = 0
   readonly #clientSignal: AbortSignal
   readonly #onClientGone: () => void
   #silenceTimer: NodeJS.Timeout | undefined
 
-  constructor (ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, isRetryAllowed: boolean) {
+  constructor (
+    ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, isRetryAllowed: boolean,
+    isResumed: boolean
+  ) {
     this.#ctx = ctx
+    this.#isResumed = isResumed
     this.#backend = backend
     this.#deadlineTimer = setTimeout(() => { this.#stop('deadline') }, Math.max(0, request.deadlineAtMs - ctx.nowMs()))
     this.#isRetryAllowed = isRetryAllowed && routingTable.mayRepeat(request.route)
@@ -193,8 +208,9 @@
 
   /** Called when an event or a whole response has arrived. */
   noteEvent (): void {
-    if (!this.hasResponded) {
-      this.hasResponded = true
+    this.events += 1
+    if (!this.#isResumed) this.#ctx.suspects.noteEvents(this.#call, this.events)
+    if (this.events === 1) {
       this.#ctx.suspects.noteBegun(this.#call)
       this.#silenceTimeoutMs = EVENT_TIMEOUT_MS
       backendPool.noteFirstResponse(this.#ctx.pool, this.#call.service, this.#ctx.nowMs() - this.#sentAtMs)
@@ -203,6 +219,10 @@
     this.#restartSilenceTimer()
   }
 
+  noteWhole (): void {
+    if (!this.#isResumed) this.#ctx.suspects.noteWhole(this.#call)
+  }
+
   #restartSilenceTimer (): void {
     clearTimeout(this.#silenceTimer)
     if (!this.#isRetryAllowed) return
--- a/src/coordination/gateway/blame-record.ts
+++ b/src/coordination/gateway/blame-record.ts
@@ -4,17 +4,16 @@
  */
 
 import * as timers from 'node:timers/promises'
+import type * as crashSuspects from '../../state/crash-suspects.js'
 import type * as controlStore from '../../protocol/control-store.js'
 import type * as runtime from '../runtime.js'
 
-export type BlamedFeature = readonly [feature: string, remainingMs: number]
-
 export interface BlameRecordOptions {
   runtime: runtime.Runtime
   store: controlStore.ControlStore
   /** Features that are blamed now. */
-  blamed: () => BlamedFeature[]
-  onRecorded: (features: BlamedFeature[]) => void
+  blamed: () => crashSuspects.BlamedFeature[]
+  onRecorded: (features: crashSuspects.BlamedFeature[]) => void
   /** Whether this entry is the one that writes. */
   isWriter: () => boolean
   signal: AbortSignal
@@ -29,6 +28,7 @@
 interface Recorded {
   feature: string
   untilUnixMs: number
+  clearedBy?: string
 }
 
 /** Reads the record, and then writes it whenever other features are blamed, until the signal aborts. */
@@ -68,18 +68,19 @@
   return written.kind === 'ok' ? summary : undefined
 }
 
-function summaryOf (features: readonly BlamedFeature[]): string {
+function summaryOf (features: readonly crashSuspects.BlamedFeature[]): string {
   return JSON.stringify(features.map(([feature]) => feature).sort())
 }
 
-function encode (features: readonly BlamedFeature[]): Buffer {
+function encode (features: readonly crashSuspects.BlamedFeature[]): Buffer {
   const nowUnixMs = Date.now()
-  return Buffer.from(JSON.stringify(features.map(([feature, remainingMs]): Recorded =>
-    ({ feature, untilUnixMs: nowUnixMs + remainingMs }))))
+  return Buffer.from(JSON.stringify(features.map(([feature, remainingMs, clearedBy]): Recorded => ({
+    feature, untilUnixMs: nowUnixMs + remainingMs, ...(clearedBy === undefined ? {} : { clearedBy })
+  }))))
 }
 
 /** @returns the features that are still blamed; none for a row of another writer. */
-function decode (value: Buffer | undefined): BlamedFeature[] {
+function decode (value: Buffer | undefined): crashSuspects.BlamedFeature[] {
   let parsed: unknown
   try {
     parsed = JSON.parse(value?.toString('utf8') ?? '[]')
@@ -87,7 +88,8 @@
     return []
   }
   if (!Array.isArray(parsed)) return []
-  return parsed.filter(isRecorded).map(({ feature, untilUnixMs }): BlamedFeature => [feature, untilUnixMs - Date.now()])
+  return parsed.filter(isRecorded).map(({ feature, untilUnixMs, clearedBy }): crashSuspects.BlamedFeature =>
+    [feature, untilUnixMs - Date.now(), clearedBy])
     .filter(([, remainingMs]) => remainingMs > 0)
 }
 
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -25,7 +25,7 @@
 import * as suspectGate from './suspect-gate.js'
 import type * as backendInstance from '../../state/backend-instance.js'
 import type * as controlStore from '../../protocol/control-store.js'
-import type * as peerMessage from '../../protocol/peer-message.js'
+import * as peerMessage from '../../protocol/peer-message.js'
 import type * as platformAdapter from '../../protocol/platform-adapter.js'
 import type * as platformSettings from '../../protocol/platform-settings.js'
 import type * as routingTable from '../../state/routing-table.js'
@@ -282,7 +282,7 @@
       this.#context.queue.placeWaiting()
     } else if (message.kind === 'leaving') {
       this.#noteLeaving({ id: message.backendId, startedAtUnixMs: message.startedAtUnixMs }, 'peer')
-    } else if (message.kind === 'crash' || message.kind === 'cleared' || message.kind === 'blamed') {
+    } else if (peerMessage.isCrashMessage(message)) {
       this.#context.suspects.receive(message)
     } else if (message.kind === 'limits' || message.kind === 'permitDemand' || message.kind === 'permits') {
       this.#limitGate.receive(message)
--- a/src/coordination/gateway/suspect-gate.ts
+++ b/src/coordination/gateway/suspect-gate.ts
@@ -43,6 +43,8 @@
   readonly #state = crashSuspects.createCrashSuspects()
   /** Requests with suspected features that have not been sent. */
   readonly #waiting = new Map<GatedCall, Waiting>()
+  /** Checks that are running, by incarnation of the backend server. */
+  readonly #probes = new Map<string, Promise<boolean>>()
 
   constructor (options: SuspectGateOptions) {
     this.#options = options
@@ -94,43 +96,88 @@
   noteBegun (call: GatedCall): void {
     const cleared = crashSuspects.noteBegun(this.#state, call.features)
     if (cleared.length === 0) return
-    this.#options.runtime.log.emit('crashSuspicionCleared', { request: call.id, features: cleared })
+    this.#logCleared(call, cleared)
     this.#options.broadcast({ kind: 'cleared', features: cleared })
     this.#applyCleared(cleared)
   }
 
+  /** Called for each event of a response that has not been resumed. @param events number that has arrived. */
+  noteEvents (call: GatedCall, events: number): void {
+    const passed = crashSuspects.noteEvents(this.#state, call.features, call.id, events)
+    if (passed.length === 0) return
+    this.#options.broadcast({ kind: 'passed', features: passed, call: call.id })
+    this.#applyPassed(passed, call.id)
+  }
+
+  /** Called when a response that has not been resumed has ended whole. */
+  noteWhole (call: GatedCall): void {
+    const cleared = crashSuspects.noteWhole(this.#state, call.features, this.#options.runtime.nowMs())
+    if (cleared.length === 0) return
+    this.#logCleared(call, cleared)
+    this.#options.broadcast({ kind: 'whole', features: cleared })
+  }
+
   /**
-   * Called when a connection broke before the response began. The backend server counts as crashed only if it refuses
-   * new connections.
+   * Called when a connection broke before the response was complete. The backend server counts as crashed only if it
+   * refuses new connections.
+   * @param events number of events that had arrived.
    */
-  async noteBroken (call: GatedCall, row: backendPool.BackendRow, tried: readonly string[]): Promise<void> {
-    const { runtime: { log }, broadcast, signal } = this.#options
-    if (!await crashProbe.hasCrashed(row.address, signal)) return
-    log.emit('crashNoted', { request: call.id, backend: row.id, startedAtUnixMs: row.startedAtUnixMs, tried })
-    const interrupted = { ...call.features, backend: `${row.id} ${row.startedAtUnixMs}`, tried }
+  async noteBroken (
+    call: GatedCall, row: backendPool.BackendRow, tried: readonly string[], events: number
+  ): Promise<void> {
+    const { runtime: { log }, broadcast } = this.#options
+    if (!await this.#hasCrashed(row)) {
+      if (crashSuspects.noteCut(this.#state, call.features, call.id)) {
+        broadcast({ kind: 'cut', features: [call.features.request, ...call.features.parts], call: call.id })
+      }
+      return
+    }
+    log.emit('crashNoted', { request: call.id, backend: row.id, startedAtUnixMs: row.startedAtUnixMs, tried, events })
+    const interrupted = {
+      ...call.features, call: call.id, backend: incarnationOf(row), tried, events
+    }
     broadcast({ kind: 'crash', interrupted })
     this.#noteCrash(interrupted)
   }
 
+  /** All connections to a backend server break at once; one check is enough for them. */
+  async #hasCrashed (row: backendPool.BackendRow): Promise<boolean> {
+    const incarnation = incarnationOf(row)
+    const running = this.#probes.get(incarnation)
+    if (running !== undefined) return await running
+    const probe = crashProbe.hasCrashed(row.address, this.#options.signal)
+    this.#probes.set(incarnation, probe)
+    try {
+      return await probe
+    } finally {
+      this.#probes.delete(incarnation)
+    }
+  }
+
   /** Applies a message of another gateway. */
   receive (message: peerMessage.CrashMessage): void {
     const nowMs = this.#options.runtime.nowMs()
     if (message.kind === 'crash') this.#noteCrash(message.interrupted)
     else if (message.kind === 'cleared') this.#applyCleared(message.features)
+    else if (message.kind === 'passed') this.#applyPassed(message.features, message.call)
+    else if (message.kind === 'whole') crashSuspects.applyWhole(this.#state, message.features, nowMs)
+    else if (message.kind === 'cut') crashSuspects.applyCut(this.#state, message.features, message.call)
     else crashSuspects.applyBlamed(this.#state, message.features, nowMs)
   }
 
   /** Features that are blamed now, with the time for which they still are. */
-  blamed (): [feature: string, remainingMs: number][] {
+  blamed (): crashSuspects.BlamedFeature[] {
     return crashSuspects.blamedFeatures(this.#state, this.#options.runtime.nowMs())
   }
 
   #judge (call: GatedCall): crashSuspects.Verdict {
-    if (this.#state.suspects.size === 0) {
+    const { nowMs: now, random } = this.#options.runtime
+    const nowMs = now()
+    this.#logBlamed(crashSuspects.decide(this.#state, nowMs, random))
+    if (this.#state.suspects.size === 0 && this.#state.decideAtMs === undefined) {
       this.leave(call)
       return 'run'
     }
-    const nowMs = this.#options.runtime.nowMs()
     const suspected = crashSuspects.suspectedFeatures(this.#state, call.features, nowMs)
     const offeredAtMs = this.#waiting.get(call)?.offeredAtMs
     if (suspected.length === 0) this.leave(call)
@@ -154,12 +201,27 @@
     this.#logBlamed(crashSuspects.applyCleared(this.#state, features, nowMs(), random))
   }
 
+  #applyPassed (features: readonly string[], callId: string): void {
+    const { nowMs, random } = this.#options.runtime
+    this.#logBlamed(crashSuspects.applyPassed(this.#state, features, callId, nowMs(), random))
+  }
+
+  #logCleared (call: GatedCall, features: readonly string[]): void {
+    this.#options.runtime.log.emit('crashSuspicionCleared', { request: call.id, features })
+  }
+
   #logBlamed (blamed: readonly string[]): void {
     if (blamed.length > 0) this.#options.runtime.log.emit('crashCauseBlamed', { features: blamed })
   }
 
   #repeatBlamed (): void {
+    const { nowMs, random } = this.#options.runtime
+    this.#logBlamed(crashSuspects.decide(this.#state, nowMs(), random))
     const features = this.blamed()
     if (features.length > 0) this.#options.broadcast({ kind: 'blamed', features })
   }
 }
+
+function incarnationOf (row: backendPool.BackendRow): string {
+  return `${row.id} ${row.startedAtUnixMs}`
+}
--- a/src/protocol/peer-message.ts
+++ b/src/protocol/peer-message.ts
@@ -29,7 +29,13 @@
   | { kind: 'crash', interrupted: crashSuspects.InterruptedRequest }
   /** Responses to requests with these features have begun since. */
   | { kind: 'cleared', features: string[] }
-  | { kind: 'blamed', features: (readonly [feature: string, remainingMs: number])[] }
+  /** A response to a request with these features has gone on past the point at which backend servers crashed. */
+  | { kind: 'passed', features: string[], call: string }
+  /** That response broke off without a crash of its backend server. */
+  | { kind: 'cut', features: string[], call: string }
+  /** Responses to requests with these features have ended whole. */
+  | { kind: 'whole', features: string[] }
+  | { kind: 'blamed', features: crashSuspects.BlamedFeature[] }
 
 /** From an agent to the entries: load of the rank at an address. */
 export interface LoadMessage {
@@ -68,15 +74,19 @@
   return undefined
 }
 
-function isCrashMessage (message: Partial<PeerMessage> | null): message is CrashMessage {
-  if (message?.kind === 'cleared') return isTextList(message.features)
+export function isCrashMessage (message: Partial<PeerMessage> | null): message is CrashMessage {
+  if (message?.kind === 'cleared' || message?.kind === 'whole') return isTextList(message.features)
+  if (message?.kind === 'passed' || message?.kind === 'cut') {
+    return isTextList(message.features) && typeof message.call === 'string'
+  }
   if (message?.kind === 'blamed') {
     return Array.isArray(message.features) && message.features.every(entry =>
-      Array.isArray(entry) && typeof entry[0] === 'string' && Number.isFinite(entry[1]))
+      Array.isArray(entry) && typeof entry[0] === 'string' && Number.isFinite(entry[1]) &&
+      ['undefined', 'string'].includes(typeof entry[2]))
   }
   if (message?.kind !== 'crash') return false
-  const { request, backend, parts, tried } = message.interrupted ?? {}
-  return typeof request === 'string' && typeof backend === 'string' && isTextList(parts) && isTextList(tried)
+  const { request, backend, parts, tried, call, events = 0 } = message.interrupted ?? {}
+  return Number.isFinite(events) && ['undefined', 'string'].includes(typeof call) && typeof request === 'string' && typeof backend === 'string' && isTextList(parts) && isTextList(tried)
 }
 
 type MessageOf<K extends PeerMessage['kind']> = PeerMessage & { kind: K }
--- a/src/state/__tests__/crash-simulation.ts
+++ b/src/state/__tests__/crash-simulation.ts
@@ -1,6 +1,6 @@
 /**
- * Simulates gateways before one lock-step group, some of whose requests crash the rank that begins their response. A
- * crash stops the whole group for seconds.
+ * Simulates gateways before one lock-step group, some of whose requests crash the rank that writes their response. A
+ * crash stops the whole group for seconds and cuts all of its streams. Without a group, it stops one rank.
  */
 
 import * as crashSuspects from '../crash-suspects.js'
@@ -13,6 +13,18 @@
   crashingShare: number
   crashingFromMs: number
   crashingUntilMs: number
+  /** Number of events that get out before the crash, as a share of those of the response and an absolute number. */
+  crashAt: { share: number, events: number }
+  /** Smallest and largest number of events of a response. */
+  events: [smallest: number, largest: number]
+  /** Whether a crash stops all ranks. */
+  isGroup: boolean
+  /** Classes whose requests may have the crashing part. */
+  crashingClasses: number
+  /** Number of backend servers that may run a request. */
+  maxRuns: number
+  /** Share of messages between gateways that are lost. */
+  lossShare: number
   /** Times at which a rank crashes for a reason other than a request. */
   killsAtMs: number[]
   durationMs: number
@@ -31,6 +43,11 @@
   /** When it could have been sent for the first time since the last crash. */
   offeredAtMs: number | undefined
   begunAtMs: number | undefined
+  endedAtMs: number | undefined
+  /** Number of events of the whole response, and of those that the client has. */
+  events: number
+  received: number
+  lastEventAtMs: number
   attempts: number
   wasRefused: boolean
 }
@@ -48,6 +65,7 @@
 const CLASSES = 3
 const DOCUMENTS_PER_CLASS = 40
 const FIRST_RESPONSE_MS = 150
+const EVENT_INTERVAL_MS = 40
 /** Time from a crash until the group is open again. */
 const OUTAGE_MS = 3_500
 /** Time after which requests in the group are cut off once a rank is dead. */
@@ -64,6 +82,9 @@
   gateway: number
   rank: number
   tried: string[]
+  /** Number of events that arrived in this attempt. */
+  events: number
+  isResumed: boolean
   isOver: boolean
 }
 
@@ -75,7 +96,8 @@
   const running = new Set<Running>()
   const events: { atMs: number, act: () => void }[] = []
   const result: CrashResult = { requests: [], crashesAtMs: [], crashingSentAtMs: [], outages: 0 }
-  let [nowMs, openAtMs, incarnation] = [0, 0, 0]
+  const openAtMs = Array.from({ length: load.ranks }, () => 0)
+  let [nowMs, incarnation] = [0, 0]
   at(0, arrive)
   at(0, check)
   for (const killAtMs of load.killsAtMs) at(killAtMs, () => { crash(Math.floor(random() * load.ranks)) })
@@ -95,8 +117,9 @@
   function arrive (): void {
     at(nowMs - Math.log(1 - random()) * 1_000 / load.requestsPerS, arrive)
     const kind = Math.floor(random() * CLASSES)
+    const [smallest, largest] = load.events
     const isCrashingTime = nowMs >= load.crashingFromMs && nowMs < load.crashingUntilMs
-    const isCrashing = kind === 0 && random() < load.crashingShare && isCrashingTime
+    const isCrashing = kind < load.crashingClasses && random() < load.crashingShare && isCrashingTime
     const id = result.requests.length
     const document = `document-${kind}-${Math.floor(random() * DOCUMENTS_PER_CLASS)}`
     const request: SimulatedRequest = {
@@ -106,6 +129,10 @@
       parts: [`class-${kind}`, isCrashing ? 'crashing' : document, `own-${id}`],
       offeredAtMs: undefined,
       begunAtMs: undefined,
+      endedAtMs: undefined,
+      events: largest === smallest ? smallest : smallest + Math.floor(random() * (largest - smallest + 1)),
+      received: 0,
+      lastEventAtMs: nowMs,
       attempts: 0,
       wasRefused: false
     }
@@ -120,9 +147,10 @@
 
   function serveWaiting (gateway: number): void {
     const state = states[gateway]!
-    const present = waiting[gateway]!.filter(request => nowMs - request.atMs < PATIENCE_MS)
+    const present = waiting[gateway]!.filter(request => nowMs - request.lastEventAtMs < PATIENCE_MS)
     waiting[gateway] = present
-    if (nowMs < openAtMs) return
+    crashSuspects.decide(state, nowMs, random)
+    if (openRanks().length === 0) return
     const counts = present.map(request => crashSuspects.suspectedFeatures(state, featuresOf(request), nowMs).length)
     const fewest = Math.min(...counts.filter(count => count > 0))
     waiting[gateway] = present.filter(request => {
@@ -142,24 +170,55 @@
     crashSuspects.startTrial(state, tried, nowMs)
     request.attempts += 1
     if (request.isCrashing) result.crashingSentAtMs.push(nowMs)
-    const run: Running = { request, gateway, rank: Math.floor(random() * load.ranks), tried, isOver: false }
+    const open = openRanks()
+    const rank = open[Math.floor(random() * open.length)]!
+    const run: Running = {
+      request, gateway, rank, tried, events: 0, isResumed: request.received > 0, isOver: false
+    }
     running.add(run)
     at(nowMs + FIRST_RESPONSE_MS * (0.5 + random()), () => { begin(run) })
   }
 
+  function openRanks (): number[] {
+    return [...openAtMs.keys()].filter(rank => nowMs >= openAtMs[rank]!)
+  }
+
   function begin (run: Running): void {
-    if (run.isOver || nowMs < openAtMs) return
-    if (run.request.isCrashing) {
+    const { request } = run
+    if (run.isOver || nowMs < openAtMs[run.rank]!) return
+    const whole = request.events - request.received + run.events
+    const crashEvents = Math.min(whole, Math.floor(load.crashAt.share * whole) + load.crashAt.events)
+    if (request.isCrashing && run.events >= crashEvents) {
       result.crashesAtMs.push(nowMs)
       crash(run.rank)
       return
     }
-    end(run)
-    run.request.begunAtMs = nowMs
-    const cleared = crashSuspects.noteBegun(states[run.gateway]!, featuresOf(run.request))
-    if (cleared.length === 0) return
+    run.events += 1
+    request.received += 1
+    request.begunAtMs ??= nowMs
+    request.lastEventAtMs = nowMs
+    const isLast = request.received === request.events
+    if (isLast && !request.isCrashing) {
+      end(run)
+      request.endedAtMs = nowMs
+    } else at(nowMs + EVENT_INTERVAL_MS, () => { begin(run) })
+    noteProgress(run, isLast && !request.isCrashing)
+  }
+
+  function noteProgress (run: Running, isLast: boolean): void {
+    const [state, features, call] = [states[run.gateway]!, featuresOf(run.request), String(run.request.id)]
+    const cleared = run.events === 1 ? crashSuspects.noteBegun(state, features) : []
+    if (cleared.length > 0) tell(other => { crashSuspects.applyCleared(other, cleared, nowMs, random) })
+    if (run.isResumed) return
+    const passed = crashSuspects.noteEvents(state, features, call, run.events)
+    if (passed.length > 0) tell(other => { crashSuspects.applyPassed(other, passed, call, nowMs, random) })
+    const whole = isLast ? crashSuspects.noteWhole(state, features, nowMs) : []
+    if (whole.length > 0) tell(other => { crashSuspects.applyWhole(other, whole, nowMs) })
+  }
+
+  function tell (apply: (state: crashSuspects.CrashSuspects) => void): void {
     at(nowMs + MESSAGE_DELAY_MS, () => {
-      for (const state of states) crashSuspects.applyCleared(state, cleared, nowMs, random)
+      for (const state of states) if (load.lossShare === 0 || random() >= load.lossShare) apply(state)
     })
   }
 
@@ -170,32 +229,35 @@
   }
 
   function crash (rank: number): void {
-    if (nowMs >= openAtMs) result.outages += 1
-    openAtMs = nowMs + OUTAGE_MS
+    if (nowMs >= openAtMs[rank]!) result.outages += 1
+    if (load.isGroup) openAtMs.fill(nowMs + OUTAGE_MS)
+    else openAtMs[rank] = nowMs + OUTAGE_MS
     for (const request of waiting.flat()) request.offeredAtMs = undefined
     const backend = `rank-${rank} ${incarnation++}`
     for (const run of [...running]) {
       if (run.rank === rank) interrupt(run, backend)
-      else at(nowMs + STALL_MS, () => { requeue(run) })
+      else if (load.isGroup) at(nowMs + STALL_MS, () => { requeue(run) })
     }
   }
 
   function interrupt (run: Running, backend: string): void {
     end(run)
-    const interrupted = { ...featuresOf(run.request), backend, tried: run.tried }
+    const { request, tried, events } = run
+    const interrupted = { ...featuresOf(request), backend, tried, call: String(request.id), events }
     at(nowMs + DETECTION_MS, () => {
       crashSuspects.noteCrash(states[run.gateway]!, interrupted, nowMs, random)
       run.request.offeredAtMs = undefined
-      waiting[run.gateway]!.push(run.request)
+      if (run.request.attempts < load.maxRuns) waiting[run.gateway]!.push(run.request)
     })
-    at(nowMs + DETECTION_MS + MESSAGE_DELAY_MS, () => {
-      for (const state of states) crashSuspects.noteCrash(state, interrupted, nowMs, random)
+    at(nowMs + DETECTION_MS, () => {
+      tell(other => { crashSuspects.noteCrash(other, interrupted, nowMs, random) })
     })
   }
 
   function requeue (run: Running): void {
     if (run.isOver) return
     end(run)
+    tell(state => { crashSuspects.noteCut(state, featuresOf(run.request), String(run.request.id)) })
     run.request.offeredAtMs = undefined
     waiting[run.gateway]!.push(run.request)
   }
--- a/src/state/crash-suspects.ts
+++ b/src/state/crash-suspects.ts
@@ -9,51 +9,18 @@
  * its request consists of. Until then a gateway tries one request with a suspected feature at a time. If that one
  * crashes its backend server too and only one suspected part remains in it, that part is blamed. While several remain,
  * only requests with all of them are refused, so that others can still clear some.
+ *
+ * What crashes occur with one after the other, at any point of the response, is blamed without a trial
+ * (`crash-recurrence.ts`); only a response that ends whole clears it.
  */
 
-/** What a request consists of, as far as other requests may have it too. */
-export interface Features {
-  /** Equal for all copies of a request. */
-  request: string
-  /** Parts of its prompt, without the last one, which belongs to the request alone. */
-  parts: readonly string[]
-}
-
-/** A request whose response had not begun when its backend server crashed. */
-export interface InterruptedRequest extends Features {
-  /** Incarnation of the backend server. */
-  backend: string
-  /** Features that were suspected when the request was sent. */
-  tried: readonly string[]
-}
-
-export interface CrashSuspects {
-  /** By feature, or by a combination of parts. */
-  suspects: Map<string, Suspect>
-  /** Crashes whose cause isn't known yet, by incarnation of the backend server. */
-  crashes: Map<string, Crash>
-}
-
-interface Suspect {
-  /** Incarnations that crashed while they ran a request with the feature. */
-  crashes: Set<string>
-  /** When it was blamed last; -Infinity if it never was. */
-  blamedAtMs: number
-  /** Requests with the feature are refused until this time; 0 if it was never blamed. */
-  blamedUntilMs: number
-  /** Number of times that the feature was blamed. */
-  blames: number
-  /** One request with the feature is being tried until this time at most. */
-  trialUntilMs: number
-  changedAtMs: number
-}
+import * as crashCauses from './crash-causes.js'
+import * as crashRecurrence from './crash-recurrence.js'
 
-interface Crash {
-  atMs: number
-  /** Whether a blamed feature explains the crash. */
-  isExplained: boolean
-  requests: InterruptedRequest[]
-}
+export type Features = crashCauses.Features
+export type InterruptedRequest = crashCauses.InterruptedRequest
+export type CrashSuspects = crashCauses.CrashSuspects
+export const { createCrashSuspects } = crashCauses
 
 /**
  * `run`: nothing is suspected. `try`: the request may be sent, as the only one with its suspected features.
@@ -61,32 +28,19 @@
  */
 export type Verdict = 'run' | 'try' | 'wait' | 'blamed'
 
-/** A feature that isn't tried again for this long is no longer suspected. */
-const SUSPICION_LIFETIME_MS = 60_000
-/** A blamed feature is tried again after this time, since the fault may have been mended. It doubles each time. */
-const BLAME_MS = 60_000
-const MAX_BLAME_MS = 600_000
-/** Share by which gateways extend the time at random, so that they don't all try the feature at the same moment. */
-const BLAME_SPREAD = 0.5
-/** Crashes within this time are taken for the result of trials at the same moment. */
-const SAME_TRIAL_MS = 3_000
 /** Time for which a request with several suspected parts lets others clear some of them, once it could be sent. */
 const CLEARING_TIME_MS = 500
 /** A trial without a result ends after this time, and another request is tried. */
 const TRIAL_TIMEOUT_MS = 1_500
-const MAX_SUSPECTS = 2_000
-const MAX_CRASHES = 200
+/** Time in which gateways tell each other what a crash interrupted. */
+const SETTLING_MS = 150
 /** Keeps a message to other gateways below the usual 1,400 bytes. */
 const MAX_REPEATED = 20
 
-export function createCrashSuspects (): CrashSuspects {
-  return { suspects: new Map(), crashes: new Map() }
-}
-
 /** Features of a request that are suspected and not blamed. */
 export function suspectedFeatures (state: CrashSuspects, features: Features, nowMs: number): string[] {
   if (state.suspects.size === 0) return []
-  return featureList(features).filter(feature => {
+  return crashCauses.featureList(features).filter(feature => {
     const suspect = state.suspects.get(feature)
     return suspect !== undefined && suspect.blamedUntilMs <= nowMs
   })
@@ -104,8 +58,9 @@
 }
 
 export function judge (state: CrashSuspects, features: Features, waiting: WaitingState, nowMs: number): Verdict {
+  if (crashCauses.isUndecided(state, features)) return 'wait'
   if (state.suspects.size === 0) return 'run'
-  if (hasBlamed(state, features, nowMs)) return 'blamed'
+  if (crashCauses.hasBlamed(state, features, nowMs)) return 'blamed'
   const suspected = suspectedFeatures(state, features, nowMs)
   if (suspected.length === 0) return 'run'
   if (suspected.length > waiting.fewestSuspected) return 'wait'
@@ -130,160 +85,125 @@
 }
 
 /**
- * Records a request that a crash interrupted before its response began.
+ * Records a request that a crash interrupted.
  * @param random uniform in [0, 1).
  * @returns the features that are blamed now and were not before.
  */
 export function noteCrash (
   state: CrashSuspects, interrupted: InterruptedRequest, nowMs: number, random: () => number
 ): string[] {
-  prune(state, nowMs)
-  const crash = state.crashes.get(interrupted.backend) ?? { atMs: nowMs, isExplained: false, requests: [] }
+  crashCauses.prune(state, nowMs)
+  const known = state.crashes.get(interrupted.backend)
+  const crash = known ?? { atMs: nowMs, isExplained: false, isRecurring: false, requests: [] }
   state.crashes.set(interrupted.backend, crash)
-  if (crash.requests.some(known => known.request === interrupted.request)) return []
+  const call = interrupted.call ?? interrupted.request
+  const events = interrupted.events ?? 0
+  if (crash.requests.some(other => (other.call ?? other.request) === call)) return []
   crash.requests.push(interrupted)
-  const blamed = interrupted.parts.filter(part => isBlamed(state.suspects.get(part), nowMs))
-  if (blamed.length > 0) explain(state, crash)
-  for (const part of blamed) if (interrupted.tried.includes(part)) blame(state.suspects.get(part)!, nowMs, random)
+  const blamed = interrupted.parts.filter(part => crashCauses.isBlamed(state.suspects.get(part), nowMs))
+  const blamedAgain = blamed.filter(part => interrupted.tried.includes(part))
+  for (const part of blamedAgain) crashCauses.blame(state.suspects.get(part)!, nowMs, random)
+  const features = crashCauses.featureList(interrupted)
+  if (blamed.some(part => state.suspects.get(part)!.clearedBy !== 'begun')) crash.isRecurring = true
+  for (const part of blamed) crashCauses.explain(state, crash, part)
+  if (crash.isRecurring) return []
+  crashRecurrence.noteCrash(state.recurrences, { features, call, events, backend: interrupted.backend }, nowMs)
+  if (events > 0) crashCauses.withdrawDoubtful(state, crash, nowMs)
+  if (known === undefined) state.decideAtMs = nowMs + SETTLING_MS
+  state.decideAtMs ??= nowMs + SETTLING_MS
   if (crash.isExplained) return []
-  for (const feature of featureList(interrupted)) suspect(state, feature, interrupted.backend, nowMs)
-  return blameRemaining(state, nowMs, random)
+  // What had begun is not held back: it may be any of the requests that the backend server ran.
+  if (events === 0) for (const feature of features) crashCauses.suspect(state, feature, interrupted.backend, nowMs)
+  return crashCauses.blameRemaining(state, nowMs, random)
 }
 
-/** Records that a response began: its request's features crash nothing. @returns the features that were suspected. */
+/**
+ * Records that a response began: its request's features crash nothing before that.
+ * @returns the features that were suspected.
+ */
 export function noteBegun (state: CrashSuspects, features: Features): string[] {
   if (state.suspects.size === 0) return []
-  return clear(state, featureList(features))
-}
-
-/** @returns the features that are blamed because no other one remains. */
-export function applyCleared (
-  state: CrashSuspects, cleared: readonly string[], nowMs: number, random: () => number
-): string[] {
-  clear(state, cleared)
-  return blameRemaining(state, nowMs, random)
-}
-
-/** Blamed features with the time for which they still are, for gateways that have started since. */
-export function blamedFeatures (state: CrashSuspects, nowMs: number): [feature: string, remainingMs: number][] {
-  return [...state.suspects].filter(([, suspect]) => isBlamed(suspect, nowMs))
-    .map(([feature, suspect]): [string, number] => [feature, Math.round(suspect.blamedUntilMs - nowMs)])
-    .slice(-MAX_REPEATED)
-}
-
-/** Applies what another gateway blames. What this one has blamed itself ends at its own time. */
-export function applyBlamed (
-  state: CrashSuspects, blamed: readonly (readonly [feature: string, remainingMs: number])[], nowMs: number
-): void {
-  prune(state, nowMs)
-  for (const [feature, remainingMs] of blamed) {
-    const known = state.suspects.get(feature) ?? newSuspect(nowMs)
-    if (known.blames > 0) continue
-    known.blames = 1
-    known.blamedUntilMs = nowMs + Math.min(remainingMs, MAX_BLAME_MS)
-    known.blamedAtMs = nowMs
-    state.suspects.set(feature, known)
-    explainBy(state, feature)
-  }
+  return crashCauses.clear(state, crashCauses.featureList(features), 'begun')
 }
 
-/** Separates the parts of a combination, which is the key of its own suspect. */
-const COMBINATION_SEPARATOR = '\n'
-
-function hasBlamed (state: CrashSuspects, features: Features, nowMs: number): boolean {
-  const own = featureList(features)
-  if (own.some(feature => isBlamed(state.suspects.get(feature), nowMs))) return true
-  for (const [key, suspect] of state.suspects) {
-    const isCombination = key.includes(COMBINATION_SEPARATOR) && isBlamed(suspect, nowMs)
-    if (isCombination && key.split(COMBINATION_SEPARATOR).every(part => own.includes(part))) return true
-  }
-  return false
+/** Records how far a response has gone. @returns the features with which it has passed the point of crashes. */
+export function noteEvents (state: CrashSuspects, features: Features, call: string, events: number): string[] {
+  if (state.recurrences.byFeature.size === 0) return []
+  return crashRecurrence.noteEvents(state.recurrences, crashCauses.featureList(features), call, events)
 }
 
-function featureList (features: Features): string[] {
-  return [features.request, ...features.parts]
+/** Records that a response broke off without a crash of its backend server. @returns whether that matters. */
+export function noteCut (state: CrashSuspects, features: Features, call: string): boolean {
+  return crashRecurrence.noteCut(state.recurrences, crashCauses.featureList(features), call)
 }
 
-function isBlamed (suspect: Suspect | undefined, nowMs: number): boolean {
-  return suspect !== undefined && suspect.blamedUntilMs > nowMs
+export function applyCut (state: CrashSuspects, features: readonly string[], call: string): void {
+  crashRecurrence.noteCut(state.recurrences, features, call)
 }
 
-function newSuspect (nowMs: number): Suspect {
-  return { crashes: new Set(), blamedAtMs: -Infinity, blamedUntilMs: 0, blames: 0, trialUntilMs: 0, changedAtMs: nowMs }
+/** @returns the features that are blamed because no other one remains. */
+export function applyPassed (
+  state: CrashSuspects, passed: readonly string[], call: string, nowMs: number, random: () => number
+): string[] {
+  crashRecurrence.applyPassed(state.recurrences, passed, call)
+  if (crashCauses.clear(state, passed, 'passed').length === 0) return []
+  state.decideAtMs ??= nowMs
+  return crashCauses.blameRemaining(state, nowMs, random)
 }
 
-function suspect (state: CrashSuspects, feature: string, backend: string, nowMs: number): void {
-  const known = state.suspects.get(feature) ?? newSuspect(nowMs)
-  known.crashes.add(backend)
-  known.changedAtMs = nowMs
-  state.suspects.set(feature, known)
+/** Records that a response ended whole: its request's features crash nothing. @returns what was cleared. */
+export function noteWhole (state: CrashSuspects, features: Features, nowMs: number): string[] {
+  if (state.suspects.size === 0 && state.recurrences.byFeature.size === 0) return []
+  return applyWhole(state, crashCauses.featureList(features), nowMs)
 }
 
-function clear (state: CrashSuspects, features: readonly string[]): string[] {
-  for (const key of state.suspects.keys()) {
-    if (key.includes(COMBINATION_SEPARATOR) && key.split(COMBINATION_SEPARATOR).some(part => features.includes(part))) {
-      state.suspects.delete(key)
-    }
-  }
-  return features.filter(feature => state.suspects.delete(feature))
+export function applyWhole (state: CrashSuspects, features: readonly string[], nowMs: number): string[] {
+  const cleared = new Set([...crashCauses.clear(state, features, 'whole'), ...crashRecurrence.clear(state.recurrences, features)])
+  if (cleared.size > 0) state.decideAtMs ??= nowMs
+  return [...cleared]
 }
 
-/**
- * Blames the suspected parts that remain of a request that was tried: one by itself, several only in combination. If
- * none remains, the request as a whole is to blame.
- */
-function blameRemaining (state: CrashSuspects, nowMs: number, random: () => number): string[] {
-  const blamed: string[] = []
-  for (const crash of state.crashes.values()) {
-    for (const { request, parts, tried } of crash.isExplained ? [] : crash.requests) {
-      const remaining = parts.filter(part => tried.includes(part) && state.suspects.has(part))
-      if (remaining.length === 0 && !tried.includes(request)) continue
-      const culprit = remaining.length === 0 ? request : remaining.sort().join(COMBINATION_SEPARATOR)
-      const known = state.suspects.get(culprit) ?? (remaining.length > 1 ? newSuspect(nowMs) : undefined)
-      if (known === undefined || isBlamed(known, nowMs)) continue
-      state.suspects.set(culprit, known)
-      blame(known, nowMs, random)
-      blamed.push(culprit)
-    }
-  }
-  for (const feature of blamed) explainBy(state, feature)
-  return blamed
+/** Blames what recurs once all gateways have told what the last crash interrupted. @returns what is blamed now. */
+export function decide (state: CrashSuspects, nowMs: number, random: () => number): string[] {
+  if (state.decideAtMs === undefined || state.decideAtMs > nowMs) return []
+  state.decideAtMs = undefined
+  return crashCauses.blameRecurring(state, nowMs, random)
 }
 
-/** Blames a feature, or renews its blame after a trial at another gateway. */
-function blame (suspect: Suspect, nowMs: number, random: () => number): void {
-  if (nowMs - suspect.blamedAtMs < SAME_TRIAL_MS) return
-  suspect.blames += 1
-  const periodMs = Math.min(MAX_BLAME_MS, BLAME_MS * 2 ** (suspect.blames - 1))
-  suspect.blamedUntilMs = nowMs + periodMs * (1 + BLAME_SPREAD * random())
-  suspect.blamedAtMs = nowMs
+/** @returns the features that are blamed because no other one remains. */
+export function applyCleared (
+  state: CrashSuspects, cleared: readonly string[], nowMs: number, random: () => number
+): string[] {
+  crashCauses.clear(state, cleared, 'begun')
+  return crashCauses.blameRemaining(state, nowMs, random)
 }
 
-/** A blamed feature explains all crashes that interrupted a request with it. */
-function explainBy (state: CrashSuspects, feature: string): void {
-  for (const crash of state.crashes.values()) {
-    if (crash.requests.some(request => featureList(request).includes(feature))) explain(state, crash)
-  }
-}
+/** A feature, the time for which it is still blamed, and what clears it, if not a response that begins. */
+export type BlamedFeature = readonly [feature: string, remainingMs: number, clearedBy?: string]
 
-/** Other features are no longer suspected because of a crash that is explained. */
-function explain (state: CrashSuspects, crash: Crash): void {
-  crash.isExplained = true
-  for (const request of crash.requests) {
-    for (const feature of featureList(request)) {
-      const known = state.suspects.get(feature)
-      known?.crashes.delete(request.backend)
-      if (known !== undefined && known.crashes.size === 0 && known.blames === 0) state.suspects.delete(feature)
-    }
-  }
+/** Features that are blamed now, for gateways that have started since. */
+export function blamedFeatures (state: CrashSuspects, nowMs: number): BlamedFeature[] {
+  return [...state.suspects].filter(([, suspect]) => crashCauses.isBlamed(suspect, nowMs))
+    .map(([feature, { blamedUntilMs, clearedBy }]): BlamedFeature => {
+      const remainingMs = Math.round(blamedUntilMs - nowMs)
+      return clearedBy === 'begun' ? [feature, remainingMs] : [feature, remainingMs, clearedBy]
+    })
+    .slice(-MAX_REPEATED)
 }
 
-function prune (state: CrashSuspects, nowMs: number): void {
-  for (const [feature, known] of state.suspects) {
-    const endMs = Math.max(known.blamedUntilMs, known.changedAtMs) + SUSPICION_LIFETIME_MS
-    if (endMs < nowMs || state.suspects.size > MAX_SUSPECTS) state.suspects.delete(feature)
-  }
-  for (const [backend, crash] of state.crashes) {
-    if (crash.atMs + SUSPICION_LIFETIME_MS < nowMs || state.crashes.size > MAX_CRASHES) state.crashes.delete(backend)
+/** Applies what another gateway blames. What this one has blamed itself ends at its own time. */
+export function applyBlamed (
+  state: CrashSuspects, blamed: readonly BlamedFeature[], nowMs: number
+): void {
+  crashCauses.prune(state, nowMs)
+  for (const [feature, remainingMs, clearedBy = 'begun'] of blamed) {
+    const known = state.suspects.get(feature) ?? crashCauses.newSuspect(nowMs)
+    crashCauses.raiseClearance(known, clearedBy as crashCauses.Clearance)
+    if (known.blames > 0) continue
+    known.blames = 1
+    known.blamedUntilMs = nowMs + Math.min(remainingMs, crashCauses.MAX_BLAME_MS)
+    known.blamedAtMs = nowMs
+    state.suspects.set(feature, known)
+    crashCauses.explainBy(state, feature)
   }
 }
