Go on when the reader of the log has gone

What callers saw: an entry of the product whose log pipe is closed ended with all its requests at the next line (status 0 in the test); and since a process finishes what is in flight after an exception, each line about the broken pipe was a further exception, so that three processes whose parent had been ended used a whole core each for a minute and never stopped.

Cause: an error on standard output is an exception outside of any request. Change: the product's programs ignore it. The platform's write their log by themselves and were not affected.

--- a/playground/process-runner.ts
+++ b/playground/process-runner.ts
@@ -16,6 +16,8 @@
   exited: Promise<number | null>
   hasExited: () => boolean
   kill: (signal: NodeJS.Signals) => void
+  /** Closes the pipes that the process writes its log to. */
+  closeOutput: () => void
   /** Fields of the ready line. */
   whenReady: Promise<Record<string, unknown>>
 }
@@ -103,6 +105,10 @@
     exited,
     hasExited: () => hasExited,
     kill: signal => { if (!hasExited) child.kill(signal) },
+    closeOutput: () => {
+      child.stdout.destroy()
+      child.stderr.destroy()
+    },
     whenReady
   }
 }
--- a/src/bin/run.ts
+++ b/src/bin/run.ts
@@ -84,6 +84,8 @@
 async function runUntilStopped<S extends typeof settings.commonSettings> (
   program: Program<S>, options: settings.Resolved<S>, signals: earlySignals.HeldSignals
 ): Promise<number> {
+  // Without a reader of the log, each line would be a fault, and each fault a further line.
+  for (const output of [process.stdout, process.stderr]) output.on('error', () => {})
   const common = options as settings.Resolved<typeof settings.commonSettings>
   const labels = { role: program.name, host: common.host }
   const log = logging.createEventLog({ format: common.logFormat, level: common.logLevel, labels })
