--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -36,7 +36,7 @@
 /** Multiple of the address lifetime after which clients have left; some cache an answer three times as long. */
 const CLIENT_LEAVE_LIFETIMES = 3.3
 const MAX_ADDRESSES = 64
-/** Node closes an idle connection exactly at its timeout; the margin keeps clients from using one that is closing. */
+/** Keeps clients, which reuse a connection until shortly before the idle time, from using one that is closing. */
 const IDLE_MARGIN_MS = 500
 const MAX_HEADER_BYTES = 64 * 1024
 
