gateway: find what crashes backend servers after their first event

Cause: the first event cleared all features of a request, and a connection that broke after it was not noted as a crash. The beginning of a response was taken for its end.

Change: state/crash-recurrence.ts weighs each crash: a feature that is there by chance with a high probability (its share of the running time, the number of interrupted requests) explains nothing; the evidence against a rare one adds up over the crashes, and crashes without it count against its guilt. Only a response that ends whole clears it. One probe serves all connections to a backend server that break at once. The hash of a request has its shared parts, since many requests have the same body.

Why it works: the trial counted crashes and refused a whole service when all servers crashed in a loop, since all requests shared a part. Such a part has a probability of 1 at each crash, so it gathers no evidence.

--- a/src/coordination/gateway/__tests__/suspect-gate.spec.ts
+++ b/src/coordination/gateway/__tests__/suspect-gate.spec.ts
@@ -1,4 +1,5 @@
 import * as vitest from 'vitest'
+import type * as gatedCall from '../gated-call.js'
 import * as suspectGate from '../suspect-gate.js'
 import type * as peerMessage from '../../../protocol/peer-message.js'
 
@@ -22,10 +23,10 @@
 
 afterEach(() => { controller.abort() })
 
-const callOf = (id: string, service: string, parts: string[]): suspectGate.GatedCall =>
+const callOf = (id: string, service: string, parts: string[]): gatedCall.GatedCall =>
   ({ id, service, features: { request: id, parts }, signal: controller.signal })
 
-function crash (call: suspectGate.GatedCall, backend: string, tried: string[] = []): void {
+function crash (call: gatedCall.GatedCall, backend: string, tried: string[] = []): void {
   gate.receive({ kind: 'crash', interrupted: { ...call.features, backend, tried } })
 }
 
--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -3,6 +3,7 @@
  */
 
 import type * as http from 'node:http'
+import * as answerEnd from '../../transport/answer-end.js'
 import * as availability from '../../state/availability.js'
 import * as backendPool from '../../state/backend-pool.js'
 import * as rankSilence from '../../state/rank-silence.js'
@@ -44,12 +45,17 @@
 ): Promise<call.AttemptOutcome> {
   const startedAtMs = ctx.nowMs()
   const watch = new AttemptWatch(ctx, request, backend, isRetryAllowed)
+  const isResumed = progress.lastEventId !== undefined
   try {
     const outcome = await runAttempt(ctx, request, backend, progress, watch)
     noteOutcome(ctx, request, backend, outcome)
-    // The next attempt depends on whether this request may have crashed the backend server.
-    if (outcome.kind === 'failed' && watch.stopReason === undefined && !watch.hasResponded) {
-      await ctx.suspects.noteBroken(request, backend.row, tried)
+    if (outcome.kind !== 'not_run') ctx.suspects.noteRun(request, backend.row, ctx.nowMs() - startedAtMs)
+    // A stream that goes on where an earlier attempt broke off shows nothing of what crashed that one.
+    if (watch.hasEndedWhole && !isResumed) ctx.suspects.noteWhole(request)
+    if (outcome.kind === 'failed' && watch.stopReason === undefined) {
+      const noted = ctx.suspects.noteBroken(request, backend.row, tried, watch.hasResponded)
+      // Before a response, the next attempt depends on whether this request may have crashed the backend server.
+      if (!watch.hasResponded) await noted
     }
     ctx.metrics.attempts.inc({ outcome: outcome.kind })
     ctx.log.emit('attemptEnded', {
@@ -123,10 +129,14 @@
       },
       signal: watch.signal
     })
+    watch.hasEndedWhole = outcome.kind === 'delivered' && answerEnd.hasFraming(response)
     return outcome.kind === 'failed' && watch.signal.aborted ? watch.outcome(true) : outcome
   }
   const whole = await wholeResponse.readWholeResponse(sent, response, ctx.responseBuffers)
-  if (whole.kind === 'whole') watch.noteEvent()
+  if (whole.kind === 'whole') {
+    watch.noteEvent()
+    watch.hasEndedWhole = status < 500 && whole.framing === 'length'
+  }
   if (whole.kind === 'whole') return { kind: 'response', status, headers, body: whole.body, framing: whole.framing }
   return watch.signal.aborted ? watch.outcome(true) : { kind: 'failed', reason: whole.reason }
 }
@@ -165,6 +175,8 @@
   #silentSinceMs: number
   /** Whether an event or a whole response has arrived. */
   hasResponded = false
+  /** Whether the response has ended in a way that a crash can't bring about. */
+  hasEndedWhole = false
   readonly #callSignal: AbortSignal
   readonly #onAborted: () => void
   #silenceTimer: NodeJS.Timeout | undefined
--- a/src/coordination/gateway/blame-record.ts
+++ b/src/coordination/gateway/blame-record.ts
@@ -7,7 +7,12 @@
 import type * as controlStore from '../../protocol/control-store.js'
 import type * as runtime from '../runtime.js'
 
-export type BlamedFeature = readonly [feature: string, remainingMs: number]
+export interface BlamedFeature {
+  feature: string
+  remainingMs: number
+  /** Whether it was found by trials, before responses began, or because it recurred at crashes. */
+  foundBy: 'trial' | 'recurrence'
+}
 
 export interface BlameRecordOptions {
   runtime: runtime.Runtime
@@ -29,6 +34,8 @@
 interface Recorded {
   feature: string
   untilUnixMs: number
+  /** Missing in records of earlier versions, which only had trials. */
+  foundBy?: BlamedFeature['foundBy']
 }
 
 /** Reads the record, and then writes it whenever other features are blamed, until the signal aborts. */
@@ -69,13 +76,13 @@
 }
 
 function summaryOf (features: readonly BlamedFeature[]): string {
-  return JSON.stringify(features.map(([feature]) => feature).sort())
+  return JSON.stringify(features.map(({ feature }) => feature).sort())
 }
 
 function encode (features: readonly BlamedFeature[]): Buffer {
   const nowUnixMs = Date.now()
-  return Buffer.from(JSON.stringify(features.map(([feature, remainingMs]): Recorded =>
-    ({ feature, untilUnixMs: nowUnixMs + remainingMs }))))
+  return Buffer.from(JSON.stringify(features.map(({ feature, remainingMs, foundBy }): Recorded =>
+    ({ feature, untilUnixMs: nowUnixMs + remainingMs, foundBy }))))
 }
 
 /** @returns the features that are still blamed; none for a row of another writer. */
@@ -87,8 +94,9 @@
     return []
   }
   if (!Array.isArray(parsed)) return []
-  return parsed.filter(isRecorded).map(({ feature, untilUnixMs }): BlamedFeature => [feature, untilUnixMs - Date.now()])
-    .filter(([, remainingMs]) => remainingMs > 0)
+  return parsed.filter(isRecorded).map(({ feature, untilUnixMs, foundBy }): BlamedFeature => ({
+    feature, remainingMs: untilUnixMs - Date.now(), foundBy: foundBy === 'recurrence' ? 'recurrence' : 'trial'
+  })).filter(({ remainingMs }) => remainingMs > 0)
 }
 
 function isRecorded (value: unknown): value is Recorded {
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -26,7 +26,7 @@
 import * as suspectGate from './suspect-gate.js'
 import type * as backendInstance from '../../state/backend-instance.js'
 import type * as controlStore from '../../protocol/control-store.js'
-import type * as peerMessage from '../../protocol/peer-message.js'
+import * as peerMessage from '../../protocol/peer-message.js'
 import type * as platformAdapter from '../../protocol/platform-adapter.js'
 import type * as platformSettings from '../../protocol/platform-settings.js'
 import type * as routingTable from '../../state/routing-table.js'
@@ -194,7 +194,7 @@
     blameRecord.keepBlameRecord({
       ...shared,
       blamed: () => this.#context.suspects.blamed(),
-      onRecorded: features => { this.#context.suspects.receive({ kind: 'blamed', features }) },
+      onRecorded: features => { this.#context.suspects.applyRecorded(features) },
       isWriter: () => this.#readyEntries().sort()[0] === this.#options.peerAddress
     })
     tableWatch.watchTable({
@@ -277,7 +277,7 @@
       this.#context.queue.placeWaiting()
     } else if (message.kind === 'leaving') {
       this.#noteLeaving({ id: message.backendId, startedAtUnixMs: message.startedAtUnixMs }, 'peer')
-    } else if (message.kind === 'crash' || message.kind === 'cleared' || message.kind === 'blamed') {
+    } else if (peerMessage.isCrashMessage(message)) {
       this.#context.suspects.receive(message)
     } else if (message.kind === 'limits' || message.kind === 'permitDemand' || message.kind === 'permits') {
       this.#limitGate.receive(message)
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -133,7 +133,7 @@
 
 function featuresOf ({ request, head, body }: ReceivedRequest, service: string): crashSuspects.Features {
   const hash = crypto.createHash('sha1')
-    .update(`${head.key ?? ''} ${request.method ?? ''} ${request.url ?? ''} `)
+    .update(`${head.key ?? ''} ${request.method ?? ''} ${request.url ?? ''} ${head.sharedPartIds.join()} `)
     .update(body.subarray(0, HASHED_BODY_BYTES))
   return {
     request: `request ${hash.digest('base64url')}`,
--- a/src/coordination/gateway/suspect-gate.ts
+++ b/src/coordination/gateway/suspect-gate.ts
@@ -6,24 +6,11 @@
 import * as timers from 'node:timers/promises'
 import * as crashSuspects from '../../state/crash-suspects.js'
 import * as crashProbe from './crash-probe.js'
+import * as recurrenceWatch from './recurrence-watch.js'
+import type * as blameRecord from './blame-record.js'
 import type * as peerMessage from '../../protocol/peer-message.js'
 import type * as backendPool from '../../state/backend-pool.js'
-import type * as runtime from '../runtime.js'
-
-export interface SuspectGateOptions {
-  runtime: runtime.Runtime
-  broadcast: (message: peerMessage.PeerMessage) => void
-  signal: AbortSignal
-}
-
-/** A request as far as the gate is concerned. */
-export interface GatedCall {
-  id: string
-  service: string
-  features: crashSuspects.Features
-  /** Aborted when the client disconnects. */
-  signal: AbortSignal
-}
+import type * as gatedCall from './gated-call.js'
 
 interface Waiting {
   /** Number of suspected features. */
@@ -39,19 +26,23 @@
 const REPEAT_BLAMED_MS = 500
 
 export class SuspectGate {
-  readonly #options: SuspectGateOptions
+  readonly #options: gatedCall.GateOptions
   readonly #state = crashSuspects.createCrashSuspects()
   /** Requests with suspected features that have not been sent. */
-  readonly #waiting = new Map<GatedCall, Waiting>()
+  readonly #waiting = new Map<gatedCall.GatedCall, Waiting>()
+  readonly #recurrence: recurrenceWatch.RecurrenceWatch
+  /** Checks that are running, by incarnation of the backend server. */
+  readonly #probes = new Map<string, Promise<boolean>>()
 
-  constructor (options: SuspectGateOptions) {
+  constructor (options: gatedCall.GateOptions) {
     this.#options = options
+    this.#recurrence = new recurrenceWatch.RecurrenceWatch(options)
     const timer = setInterval(() => { this.#repeatBlamed() }, REPEAT_BLAMED_MS)
     options.signal.addEventListener('abort', () => { clearInterval(timer) }, { once: true })
   }
 
   /** Waits until the request may be sent. @param latestMs time after which it can't be served any more. */
-  async enter (call: GatedCall, latestMs: number): Promise<EnterResult> {
+  async enter (call: gatedCall.GatedCall, latestMs: number): Promise<EnterResult> {
     const { nowMs } = this.#options.runtime
     for (;;) {
       const verdict = this.#judge(call)
@@ -68,7 +59,7 @@
    * Decides again when a slot is free, since other requests may have been sent meanwhile.
    * @returns the suspected features that the request tries out; undefined if it may not be sent now.
    */
-  start (call: GatedCall): string[] | undefined {
+  start (call: gatedCall.GatedCall): string[] | undefined {
     const nowMs = this.#options.runtime.nowMs()
     const waiting = this.#waiting.get(call)
     if (waiting !== undefined) waiting.offeredAtMs ??= nowMs
@@ -81,7 +72,7 @@
   }
 
   /** Called when a request that entered will not be sent. */
-  leave (call: GatedCall): void {
+  leave (call: gatedCall.GatedCall): void {
     this.#waiting.delete(call)
   }
 
@@ -91,7 +82,7 @@
   }
 
   /** Called when the response of a backend server begins. */
-  noteBegun (call: GatedCall): void {
+  noteBegun (call: gatedCall.GatedCall): void {
     const cleared = crashSuspects.noteBegun(this.#state, call.features)
     if (cleared.length === 0) return
     this.#options.runtime.log.emit('crashSuspicionCleared', { request: call.id, features: cleared })
@@ -99,33 +90,80 @@
     this.#applyCleared(cleared)
   }
 
+  /** Called when an attempt has ended that may have run. */
+  noteRun (call: gatedCall.GatedCall, row: backendPool.BackendRow, durationMs: number): void {
+    this.#recurrence.noteRun(call, row, durationMs)
+  }
+
+  /** Called when a response that was not resumed has ended whole. */
+  noteWhole (call: gatedCall.GatedCall): void {
+    this.#recurrence.noteWhole(call)
+  }
+
   /**
-   * Called when a connection broke before the response began. The backend server counts as crashed only if it refuses
-   * new connections.
+   * Called when a connection broke before the response was whole. The backend server counts as crashed only if it
+   * refuses new connections.
    */
-  async noteBroken (call: GatedCall, row: backendPool.BackendRow, tried: readonly string[]): Promise<void> {
-    const { runtime: { log }, broadcast, signal } = this.#options
-    if (!await crashProbe.hasCrashed(row.address, signal)) return
-    log.emit('crashNoted', { request: call.id, backend: row.id, startedAtUnixMs: row.startedAtUnixMs, tried })
-    const interrupted = { ...call.features, backend: `${row.id} ${row.startedAtUnixMs}`, tried }
+  async noteBroken (
+    call: gatedCall.GatedCall, row: backendPool.BackendRow, tried: readonly string[], hasBegun: boolean
+  ): Promise<void> {
+    const { runtime: { log }, broadcast } = this.#options
+    if (!await this.#hasCrashed(row)) return
+    const { startedAtUnixMs } = row
+    log.emit('crashNoted', { request: call.id, backend: row.id, startedAtUnixMs, tried, hasBegun })
+    this.#recurrence.noteCrash(call, row)
+    if (hasBegun) return
+    const interrupted = { ...call.features, backend: `${row.id} ${startedAtUnixMs}`, tried }
     broadcast({ kind: 'crash', interrupted })
     this.#noteCrash(interrupted)
   }
 
+  /** All connections to a backend server break at once; one check is enough for them. */
+  async #hasCrashed (row: backendPool.BackendRow): Promise<boolean> {
+    const incarnation = `${row.id} ${row.startedAtUnixMs}`
+    const running = this.#probes.get(incarnation)
+    if (running !== undefined) return await running
+    const probe = crashProbe.hasCrashed(row.address, this.#options.signal)
+    this.#probes.set(incarnation, probe)
+    try {
+      return await probe
+    } finally {
+      this.#probes.delete(incarnation)
+    }
+  }
+
   /** Applies a message of another gateway. */
   receive (message: peerMessage.CrashMessage): void {
     const nowMs = this.#options.runtime.nowMs()
     if (message.kind === 'crash') this.#noteCrash(message.interrupted)
     else if (message.kind === 'cleared') this.#applyCleared(message.features)
-    else crashSuspects.applyBlamed(this.#state, message.features, nowMs)
+    else if (message.kind === 'blamed') crashSuspects.applyBlamed(this.#state, message.features, nowMs)
+    else this.#recurrence.receive(message)
+  }
+
+  /** Features that are blamed now. */
+  blamed (): blameRecord.BlamedFeature[] {
+    const found = (
+      foundBy: blameRecord.BlamedFeature['foundBy'], features: [feature: string, remainingMs: number][]
+    ): blameRecord.BlamedFeature[] => features.map(([feature, remainingMs]) => ({ feature, remainingMs, foundBy }))
+    return [...found('trial', this.#blamedByTrial()), ...found('recurrence', this.#recurrence.blamed())]
+  }
+
+  /** Applies what the store has recorded. */
+  applyRecorded (features: readonly blameRecord.BlamedFeature[]): void {
+    const nowMs = this.#options.runtime.nowMs()
+    for (const { feature, remainingMs, foundBy } of features) {
+      if (foundBy === 'recurrence') this.#recurrence.applyBlamed(feature, remainingMs)
+      else crashSuspects.applyBlamed(this.#state, [[feature, remainingMs]], nowMs)
+    }
   }
 
-  /** Features that are blamed now, with the time for which they still are. */
-  blamed (): [feature: string, remainingMs: number][] {
+  #blamedByTrial (): [feature: string, remainingMs: number][] {
     return crashSuspects.blamedFeatures(this.#state, this.#options.runtime.nowMs())
   }
 
-  #judge (call: GatedCall): crashSuspects.Verdict {
+  #judge (call: gatedCall.GatedCall): crashSuspects.Verdict {
+    if (this.#recurrence.isBlamed(call)) return 'blamed'
     if (this.#state.suspects.size === 0) {
       this.leave(call)
       return 'run'
@@ -159,7 +197,8 @@
   }
 
   #repeatBlamed (): void {
-    const features = this.blamed()
+    const [features, recurring] = [this.#blamedByTrial(), this.#recurrence.blamed()]
     if (features.length > 0) this.#options.broadcast({ kind: 'blamed', features })
+    if (recurring.length > 0) this.#options.broadcast({ kind: 'recurring', features: recurring })
   }
 }
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -91,6 +91,8 @@
   limitDivided: { number: 2213, level: 'info', text: 'permits for backend servers with a limit were granted to entries in the last second' },
   repeatGranted: { number: 2214, level: 'info', text: 'a retry was taken from the retry budget' },
   crashCausesRead: { number: 2216, level: 'info', text: 'the store has features that entries blamed for crashes before this process started' },
+  crashFeatureSound: { number: 2217, level: 'info', text: 'a response ended whole whose request shares features with those at crashes' },
+  crashCauseRecurred: { number: 2218, level: 'warn', text: 'requests with a feature are refused because it recurs at crashes of backend servers' },
   requestFault: { number: 2215, level: 'error', text: 'an unexpected error ended the handling of a request' },
   peerHeard: { number: 3101, level: 'info', text: 'the first message of a peer was received' },
   peerSendFailed: { number: 3102, level: 'warn', text: 'a datagram to a peer could not be sent' },
--- a/src/protocol/peer-message.ts
+++ b/src/protocol/peer-message.ts
@@ -10,6 +10,7 @@
 import * as socketAddress from './socket-address.js'
 import type * as backendPool from '../state/backend-pool.js'
 import type * as clusterView from '../state/cluster-view.js'
+import type * as crashRecurrence from '../state/crash-recurrence.js'
 import type * as crashSuspects from '../state/crash-suspects.js'
 
 export type PeerMessage =
@@ -27,9 +28,15 @@
 /** Between entries: what one of them has learned about the causes of crashes. */
 export type CrashMessage =
   | { kind: 'crash', interrupted: crashSuspects.InterruptedRequest }
+  /** A crash interrupted a request, before or after its response began. */
+  | { kind: 'crashed', request: crashRecurrence.CrashedRequest }
   /** Responses to requests with these features have begun since. */
   | { kind: 'cleared', features: string[] }
   | { kind: 'blamed', features: (readonly [feature: string, remainingMs: number])[] }
+  /** Responses to requests with these features have ended whole. */
+  | { kind: 'whole', features: string[] }
+  /** Blamed since they recurred at crashes. */
+  | { kind: 'recurring', features: (readonly [feature: string, remainingMs: number])[] }
 
 /** From an agent to the entries: load of the rank at an address. */
 export interface LoadMessage {
@@ -68,9 +75,13 @@
   return undefined
 }
 
-function isCrashMessage (message: Partial<PeerMessage> | null): message is CrashMessage {
-  if (message?.kind === 'cleared') return isTextList(message.features)
-  if (message?.kind === 'blamed') {
+export function isCrashMessage (message: Partial<PeerMessage> | null): message is CrashMessage {
+  if (message?.kind === 'cleared' || message?.kind === 'whole') return isTextList(message.features)
+  if (message?.kind === 'crashed') {
+    const { call, service, server, backend, request, parts } = message.request ?? {}
+    return isTextList([call, service, server, backend, request]) && isTextList(parts)
+  }
+  if (message?.kind === 'blamed' || message?.kind === 'recurring') {
     return Array.isArray(message.features) && message.features.every(entry =>
       Array.isArray(entry) && typeof entry[0] === 'string' && Number.isFinite(entry[1]))
   }
--- a/src/state/__tests__/crash-simulation.ts
+++ b/src/state/__tests__/crash-simulation.ts
@@ -1,8 +1,9 @@
 /**
- * Simulates gateways before one lock-step group, some of whose requests crash the rank that begins their response. A
- * crash stops the whole group for seconds.
+ * Simulates gateways before one lock-step group, some of whose requests crash the rank that writes their response. A
+ * crash stops the whole group for seconds and cuts all of its streams. Without a group, it stops one rank.
  */
 
+import * as crashRecurrence from '../crash-recurrence.js'
 import * as crashSuspects from '../crash-suspects.js'
 
 export interface CrashLoad {
@@ -13,8 +14,24 @@
   crashingShare: number
   crashingFromMs: number
   crashingUntilMs: number
+  /** Number of events that get out before the crash, as a share of those of the response and an absolute number. */
+  crashAt: { share: number, events: number }
+  /** Smallest and largest number of events of a response. */
+  events: [smallest: number, largest: number]
+  /** Whether a crash stops all ranks. */
+  isGroup: boolean
+  /** Number of backend servers that may run a request. */
+  maxRuns: number
+  /** Share of messages between gateways that are lost. */
+  lossShare: number
   /** Times at which a rank crashes for a reason other than a request. */
   killsAtMs: number[]
+  /** Times at which all ranks crash at once for such a reason. */
+  powerLossesAtMs: number[]
+  /** Whether requests with the same second part are sent to the same rank while it is up. */
+  hasHomes: boolean
+  /** Rank that crashes for such a reason half a second after each return; undefined for none. */
+  failingRank: number | undefined
   durationMs: number
   /** What a gateway knows of a request. */
   featuresOf: (request: SimulatedRequest) => crashSuspects.Features
@@ -31,6 +48,11 @@
   /** When it could have been sent for the first time since the last crash. */
   offeredAtMs: number | undefined
   begunAtMs: number | undefined
+  endedAtMs: number | undefined
+  /** Number of events of the whole response, and of those that the client has. */
+  events: number
+  received: number
+  lastEventAtMs: number
   attempts: number
   wasRefused: boolean
 }
@@ -43,13 +65,20 @@
   crashingSentAtMs: number[]
   /** Number of times that the group stopped. */
   outages: number
+  /** Features that a gateway blamed for crashes at any point of responses. */
+  blamed: string[]
 }
 
 const CLASSES = 3
 const DOCUMENTS_PER_CLASS = 40
+const SERVICE = 'service'
+/** Time for which the others refuse what one gateway blames. */
+const BLAME_MS = 60_000
 const FIRST_RESPONSE_MS = 150
+const EVENT_INTERVAL_MS = 40
 /** Time from a crash until the group is open again. */
 const OUTAGE_MS = 3_500
+const FAILING_RANK_UP_MS = 500
 /** Time after which requests in the group are cut off once a rank is dead. */
 const STALL_MS = 1_500
 /** Time from a crash until the gateway whose connection broke is sure of it. */
@@ -59,26 +88,42 @@
 /** Clients leave a stream without an event after this time. */
 const PATIENCE_MS = 2_000
 
+interface Gateway {
+  suspects: crashSuspects.CrashSuspects
+  recurrence: crashRecurrence.CrashRecurrence
+}
+
 interface Running {
+  startedAtMs: number
   request: SimulatedRequest
   gateway: number
   rank: number
   tried: string[]
+  /** Number of events that arrived in this attempt. */
+  events: number
+  isResumed: boolean
   isOver: boolean
 }
 
 /** Runs the simulation. */
 export function simulateCrashes (load: CrashLoad): CrashResult {
   const { random, featuresOf } = load
-  const states = Array.from({ length: load.gateways }, () => crashSuspects.createCrashSuspects())
+  const gateways = Array.from({ length: load.gateways }, (): Gateway => ({
+    suspects: crashSuspects.createCrashSuspects(), recurrence: crashRecurrence.createCrashRecurrence()
+  }))
   const waiting: SimulatedRequest[][] = Array.from({ length: load.gateways }, () => [])
   const running = new Set<Running>()
   const events: { atMs: number, act: () => void }[] = []
-  const result: CrashResult = { requests: [], crashesAtMs: [], crashingSentAtMs: [], outages: 0 }
-  let [nowMs, openAtMs, incarnation] = [0, 0, 0]
+  const result: CrashResult = { requests: [], crashesAtMs: [], crashingSentAtMs: [], outages: 0, blamed: [] }
+  const openAtMs = Array.from({ length: load.ranks }, () => 0)
+  let [nowMs, incarnation] = [0, 0]
   at(0, arrive)
   at(0, check)
   for (const killAtMs of load.killsAtMs) at(killAtMs, () => { crash(Math.floor(random() * load.ranks)) })
+  for (const lossAtMs of load.powerLossesAtMs) {
+    at(lossAtMs, () => { for (let rank = 0; rank < load.ranks; rank++) crash(rank) })
+  }
+  if (load.failingRank !== undefined) failAgain(load.failingRank)
   while (nowMs < load.durationMs) {
     const next = events.shift()!
     nowMs = next.atMs
@@ -95,6 +140,7 @@
   function arrive (): void {
     at(nowMs - Math.log(1 - random()) * 1_000 / load.requestsPerS, arrive)
     const kind = Math.floor(random() * CLASSES)
+    const [smallest, largest] = load.events
     const isCrashingTime = nowMs >= load.crashingFromMs && nowMs < load.crashingUntilMs
     const isCrashing = kind === 0 && random() < load.crashingShare && isCrashingTime
     const id = result.requests.length
@@ -106,6 +152,10 @@
       parts: [`class-${kind}`, isCrashing ? 'crashing' : document, `own-${id}`],
       offeredAtMs: undefined,
       begunAtMs: undefined,
+      endedAtMs: undefined,
+      events: largest === smallest ? smallest : smallest + Math.floor(random() * (largest - smallest + 1)),
+      received: 0,
+      lastEventAtMs: nowMs,
       attempts: 0,
       wasRefused: false
     }
@@ -119,17 +169,27 @@
   }
 
   function serveWaiting (gateway: number): void {
-    const state = states[gateway]!
-    const present = waiting[gateway]!.filter(request => nowMs - request.atMs < PATIENCE_MS)
+    const { suspects: state, recurrence } = gateways[gateway]!
+    const present = waiting[gateway]!.filter(request => nowMs - request.lastEventAtMs < PATIENCE_MS)
     waiting[gateway] = present
-    if (nowMs < openAtMs) return
+    const blamed = crashRecurrence.decide(recurrence, nowMs, random)
+    if (blamed.length > 0) {
+      result.blamed.push(...blamed)
+      tell(other => {
+        for (const feature of blamed) crashRecurrence.applyBlamed(other.recurrence, feature, BLAME_MS, nowMs)
+      })
+    }
+    if (openRanks().length === 0) return
     const counts = present.map(request => crashSuspects.suspectedFeatures(state, featuresOf(request), nowMs).length)
     const fewest = Math.min(...counts.filter(count => count > 0))
     waiting[gateway] = present.filter(request => {
       request.offeredAtMs ??= nowMs
-      const verdict = crashSuspects.judge(state, featuresOf(request), {
-        fewestSuspected: fewest, offeredForMs: nowMs - request.offeredAtMs
-      }, nowMs)
+      const isBlamed = crashRecurrence.isBlamed(recurrence, featuresOf(request), nowMs)
+      const verdict = isBlamed
+        ? 'blamed'
+        : crashSuspects.judge(state, featuresOf(request), {
+          fewestSuspected: fewest, offeredForMs: nowMs - request.offeredAtMs
+        }, nowMs)
       if (verdict === 'blamed') request.wasRefused = true
       else if (verdict !== 'wait') send(gateway, request)
       return verdict === 'wait'
@@ -137,59 +197,107 @@
   }
 
   function send (gateway: number, request: SimulatedRequest): void {
-    const state = states[gateway]!
+    const state = gateways[gateway]!.suspects
     const tried = crashSuspects.suspectedFeatures(state, featuresOf(request), nowMs)
     crashSuspects.startTrial(state, tried, nowMs)
     request.attempts += 1
     if (request.isCrashing) result.crashingSentAtMs.push(nowMs)
-    const run: Running = { request, gateway, rank: Math.floor(random() * load.ranks), tried, isOver: false }
+    const open = openRanks()
+    const home = homeOf(request)
+    const rank = load.hasHomes && open.includes(home) ? home : open[Math.floor(random() * open.length)]!
+    const run: Running = {
+      startedAtMs: nowMs, request, gateway, rank, tried, events: 0, isResumed: request.received > 0, isOver: false
+    }
     running.add(run)
     at(nowMs + FIRST_RESPONSE_MS * (0.5 + random()), () => { begin(run) })
   }
 
+  function homeOf ({ parts }: SimulatedRequest): number {
+    return [...parts[1]!].reduce((sum, character) => sum * 31 + character.charCodeAt(0), 7) % load.ranks
+  }
+
+  function failAgain (rank: number): void {
+    at(nowMs + OUTAGE_MS + FAILING_RANK_UP_MS, () => {
+      crash(rank)
+      failAgain(rank)
+    })
+  }
+
+  function openRanks (): number[] {
+    return [...openAtMs.keys()].filter(rank => nowMs >= openAtMs[rank]!)
+  }
+
   function begin (run: Running): void {
-    if (run.isOver || nowMs < openAtMs) return
-    if (run.request.isCrashing) {
+    const { request } = run
+    if (run.isOver || nowMs < openAtMs[run.rank]!) return
+    const whole = request.events - request.received + run.events
+    const crashEvents = Math.min(whole, Math.floor(load.crashAt.share * whole) + load.crashAt.events)
+    if (request.isCrashing && run.events >= crashEvents) {
       result.crashesAtMs.push(nowMs)
       crash(run.rank)
       return
     }
-    end(run)
-    run.request.begunAtMs = nowMs
-    const cleared = crashSuspects.noteBegun(states[run.gateway]!, featuresOf(run.request))
-    if (cleared.length === 0) return
+    run.events += 1
+    request.received += 1
+    request.begunAtMs ??= nowMs
+    request.lastEventAtMs = nowMs
+    const isLast = request.received === request.events
+    if (isLast && !request.isCrashing) {
+      end(run)
+      request.endedAtMs = nowMs
+    } else at(nowMs + EVENT_INTERVAL_MS, () => { begin(run) })
+    noteProgress(run, isLast && !request.isCrashing)
+  }
+
+  function noteProgress (run: Running, isLast: boolean): void {
+    const [{ suspects, recurrence }, features] = [gateways[run.gateway]!, featuresOf(run.request)]
+    const cleared = run.events === 1 ? crashSuspects.noteBegun(suspects, features) : []
+    if (cleared.length > 0) tell(other => { crashSuspects.applyCleared(other.suspects, cleared, nowMs, random) })
+    const whole = isLast && !run.isResumed ? crashRecurrence.noteWhole(recurrence, features, nowMs) : []
+    if (whole.length > 0) tell(other => { crashRecurrence.clear(other.recurrence, whole, nowMs) })
+  }
+
+  function tell (apply: (gateway: Gateway) => void): void {
     at(nowMs + MESSAGE_DELAY_MS, () => {
-      for (const state of states) crashSuspects.applyCleared(state, cleared, nowMs, random)
+      for (const gateway of gateways) if (load.lossShare === 0 || random() >= load.lossShare) apply(gateway)
     })
   }
 
   function end (run: Running): void {
     run.isOver = true
     running.delete(run)
-    crashSuspects.endTrial(states[run.gateway]!, run.tried)
+    const { suspects, recurrence } = gateways[run.gateway]!
+    crashSuspects.endTrial(suspects, run.tried)
+    const place = { service: SERVICE, server: `rank-${run.rank}` }
+    crashRecurrence.noteRun(recurrence, place, featuresOf(run.request), nowMs - run.startedAtMs, nowMs)
   }
 
   function crash (rank: number): void {
-    if (nowMs >= openAtMs) result.outages += 1
-    openAtMs = nowMs + OUTAGE_MS
+    if (nowMs >= openAtMs[rank]!) result.outages += 1
+    if (load.isGroup) openAtMs.fill(nowMs + OUTAGE_MS)
+    else openAtMs[rank] = nowMs + OUTAGE_MS
     for (const request of waiting.flat()) request.offeredAtMs = undefined
     const backend = `rank-${rank} ${incarnation++}`
     for (const run of [...running]) {
       if (run.rank === rank) interrupt(run, backend)
-      else at(nowMs + STALL_MS, () => { requeue(run) })
+      else if (load.isGroup) at(nowMs + STALL_MS, () => { requeue(run) })
     }
   }
 
   function interrupt (run: Running, backend: string): void {
     end(run)
-    const interrupted = { ...featuresOf(run.request), backend, tried: run.tried }
+    const { request, tried, gateway } = run
+    const interrupted = { ...featuresOf(request), backend, tried }
+    const hasBegun = run.events > 0
     at(nowMs + DETECTION_MS, () => {
-      crashSuspects.noteCrash(states[run.gateway]!, interrupted, nowMs, random)
-      run.request.offeredAtMs = undefined
-      waiting[run.gateway]!.push(run.request)
-    })
-    at(nowMs + DETECTION_MS + MESSAGE_DELAY_MS, () => {
-      for (const state of states) crashSuspects.noteCrash(state, interrupted, nowMs, random)
+      request.offeredAtMs = undefined
+      if (request.attempts < load.maxRuns) waiting[gateway]!.push(request)
+      tell(other => {
+        if (!hasBegun) crashSuspects.noteCrash(other.suspects, interrupted, nowMs, random)
+        crashRecurrence.noteCrash(other.recurrence, {
+          ...interrupted, call: String(request.id), service: SERVICE, server: `rank-${run.rank}`
+        }, nowMs)
+      })
     })
   }
 
--- a/src/state/__tests__/crash-suspects.spec.ts
+++ b/src/state/__tests__/crash-suspects.spec.ts
@@ -21,7 +21,15 @@
   crashingShare: 0.05,
   crashingFromMs: 4_000,
   crashingUntilMs: 60_000,
+  crashAt: { share: 0, events: 0 },
+  events: [1, 1],
+  isGroup: true,
+  maxRuns: Infinity,
+  lossShare: 0,
   killsAtMs: [],
+  powerLossesAtMs: [],
+  hasHomes: false,
+  failingRank: undefined,
   durationMs: 70_000,
   featuresOf: request => ({ request: `request ${request.id}`, parts: request.parts.slice(0, -1) })
 }
