gateway: one trial proves nothing against a common part

Cause: a request with a suspected part is tried alone with that part, but other requests run on the same backend server. When one of those crashes it after its first event, the trial ends in a crash too, and the part that remains is blamed: the class, which is always there.

Change: a part with a fifth of the running time or more is blamed only after three trials that end in a crash; in between, one response that begins clears it.

--- a/src/coordination/gateway/recurrence-watch.ts
+++ b/src/coordination/gateway/recurrence-watch.ts
@@ -27,6 +27,11 @@
     return crashRecurrence.isBlamed(this.#state, call.features, this.#runtime.nowMs())
   }
 
+  /** Whether a part is probably there whenever a backend server crashes. */
+  isCommon (part: string): boolean {
+    return crashRecurrence.isCommon(this.#state, part, this.#runtime.nowMs())
+  }
+
   /** Called when an attempt has ended that may have run. */
   noteRun (call: gatedCall.GatedCall, row: backendPool.BackendRow, durationMs: number): void {
     const place = { service: call.service, server: row.id }
--- a/src/coordination/gateway/suspect-gate.ts
+++ b/src/coordination/gateway/suspect-gate.ts
@@ -182,14 +182,18 @@
   }
 
   #noteCrash (interrupted: crashSuspects.InterruptedRequest): void {
-    const { nowMs, random } = this.#options.runtime
     for (const waiting of this.#waiting.values()) waiting.offeredAtMs = undefined
-    this.#logBlamed(crashSuspects.noteCrash(this.#state, interrupted, nowMs(), random))
+    const nowMs = this.#options.runtime.nowMs()
+    this.#logBlamed(crashSuspects.noteCrash(this.#state, interrupted, nowMs, this.#blameOptions))
   }
 
   #applyCleared (features: readonly string[]): void {
-    const { nowMs, random } = this.#options.runtime
-    this.#logBlamed(crashSuspects.applyCleared(this.#state, features, nowMs(), random))
+    const nowMs = this.#options.runtime.nowMs()
+    this.#logBlamed(crashSuspects.applyCleared(this.#state, features, nowMs, this.#blameOptions))
+  }
+
+  get #blameOptions (): crashSuspects.BlameOptions {
+    return { isCommon: part => this.#recurrence.isCommon(part), random: this.#options.runtime.random }
   }
 
   #logBlamed (blamed: readonly string[]): void {
--- a/src/state/__tests__/crash-recurrence.spec.ts
+++ b/src/state/__tests__/crash-recurrence.spec.ts
@@ -67,6 +67,18 @@
   for (const seed of SEEDS) expectLearned(simulate(seed, { crashAt, lossShare: 0.05 }))
 })
 
+// Guards against blame for the class of the requests that crash backend servers.
+test.each(POINTS)('sound requests begin as often as before when the crashes come %s', (_, crashAt) => {
+  for (const seed of SEEDS) {
+    const { requests, crashesAtMs } = simulate(seed, { crashAt })
+    const learnedAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? crashesAtMs.at(-1)!) + 2 * CONTACT_MS
+    const sound = requests.filter(request => request.parts[0] === 'class-0' && !request.isCrashing)
+    const during = shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < DAY.crashingUntilMs))
+    const outside = shareBegunAtOnce(sound.filter(({ atMs }) => atMs < DAY.crashingFromMs))
+    expect(during).toBeGreaterThan(outside / 2)
+  }
+})
+
 const LOOPS = [
   ['ranks that crash one after the other', { killsAtMs: [5_000, 5_000, 5_000, 15_000, 25_000, 25_000, 33_000, 38_000] }],
   ['a group that crashes half a second after each return', { killsAtMs: [25_000, 29_000, 33_000, 37_000] }],
@@ -194,6 +206,12 @@
   expect(crashingSentAtMs.filter(sentAtMs => sentAtMs > knownAtMs).length).toBeLessThanOrEqual(MAX_SENT_AFTERWARDS)
 }
 
+function shareBegunAtOnce (requests: crashSimulation.SimulatedRequest[]): number {
+  expect(requests.length).toBeGreaterThan(20)
+  const begun = requests.filter(({ begunAtMs, attempts }) => begunAtMs !== undefined && attempts === 1)
+  return begun.length / requests.length
+}
+
 /** Linear congruential generator, so that the load is the same in each run. */
 function randomOf (seed: number): () => number {
   let state = seed
--- a/src/state/__tests__/crash-simulation.ts
+++ b/src/state/__tests__/crash-simulation.ts
@@ -252,7 +252,9 @@
   function noteProgress (run: Running, isLast: boolean): void {
     const [{ suspects, recurrence }, features] = [gateways[run.gateway]!, featuresOf(run.request)]
     const cleared = run.events === 1 ? crashSuspects.noteBegun(suspects, features) : []
-    if (cleared.length > 0) tell(other => { crashSuspects.applyCleared(other.suspects, cleared, nowMs, random) })
+    if (cleared.length > 0) {
+      tell(other => { crashSuspects.applyCleared(other.suspects, cleared, nowMs, optionsOf(other)) })
+    }
     const whole = isLast && !run.isResumed ? crashRecurrence.noteWhole(recurrence, features, nowMs) : []
     if (whole.length > 0) tell(other => { crashRecurrence.clear(other.recurrence, whole, nowMs) })
   }
@@ -293,7 +295,7 @@
       request.offeredAtMs = undefined
       if (request.attempts < load.maxRuns) waiting[gateway]!.push(request)
       tell(other => {
-        if (!hasBegun) crashSuspects.noteCrash(other.suspects, interrupted, nowMs, random)
+        if (!hasBegun) crashSuspects.noteCrash(other.suspects, interrupted, nowMs, optionsOf(other))
         crashRecurrence.noteCrash(other.recurrence, {
           ...interrupted, call: String(request.id), service: SERVICE, server: `rank-${run.rank}`
         }, nowMs)
@@ -301,6 +303,10 @@
     })
   }
 
+  function optionsOf ({ recurrence }: Gateway): crashSuspects.BlameOptions {
+    return { isCommon: part => crashRecurrence.isCommon(recurrence, part, nowMs), random }
+  }
+
   function requeue (run: Running): void {
     if (run.isOver) return
     end(run)
--- a/src/state/__tests__/crash-suspects.spec.ts
+++ b/src/state/__tests__/crash-suspects.spec.ts
@@ -12,6 +12,8 @@
 const MAX_SENT_AFTERWARDS = 3
 /** No other request waits. */
 const ALONE: crashSuspects.WaitingState = { fewestSuspected: Infinity, offeredForMs: Infinity }
+/** No part is common. */
+const BLAME_OPTIONS: crashSuspects.BlameOptions = { isCommon: () => false, random: () => 0 }
 const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]
 
 const DAY: Omit<crashSimulation.CrashLoad, 'random'> = {
@@ -78,12 +80,12 @@
 test('parts that only occur together are refused together', () => {
   const state = crashSuspects.createCrashSuspects()
   const parts = ['part a', 'part b']
-  crashSuspects.noteCrash(state, { request: 'r1', parts, backend: 'b1', tried: [] }, 0, () => 0)
-  crashSuspects.noteCrash(state, { request: 'r2', parts, backend: 'b2', tried: parts }, 1_000, () => 0)
+  crashSuspects.noteCrash(state, { request: 'r1', parts, backend: 'b1', tried: [] }, 0, BLAME_OPTIONS)
+  crashSuspects.noteCrash(state, { request: 'r2', parts, backend: 'b2', tried: parts }, 1_000, BLAME_OPTIONS)
   expect(crashSuspects.judge(state, { request: 'r3', parts }, ALONE, 2_000)).toBe('blamed')
   const other = { request: 'r4', parts: ['part a', 'part c'] }
   expect(crashSuspects.judge(state, other, ALONE, 2_000)).toBe('try')
-  crashSuspects.applyCleared(state, crashSuspects.noteBegun(state, other), 2_100, () => 0)
+  crashSuspects.applyCleared(state, crashSuspects.noteBegun(state, other), 2_100, BLAME_OPTIONS)
   expect(crashSuspects.judge(state, { request: 'r5', parts: ['part d', 'part b'] }, ALONE, 2_200)).toBe('blamed')
   expect(crashSuspects.judge(state, other, ALONE, 2_200)).toBe('run')
 })
@@ -139,18 +141,33 @@
 test('a request that crashed two backend servers is refused, and others with its parts are not', () => {
   const state = crashSuspects.createCrashSuspects()
   const features = { request: 'r1', parts: ['part a'] }
-  crashSuspects.noteCrash(state, { ...features, backend: 'b1', tried: [] }, 0, () => 0)
+  crashSuspects.noteCrash(state, { ...features, backend: 'b1', tried: [] }, 0, BLAME_OPTIONS)
   crashSuspects.noteBegun(state, { request: 'r2', parts: ['part a'] })
   expect(crashSuspects.judge(state, features, ALONE, 1)).toBe('try')
-  crashSuspects.noteCrash(state, { ...features, backend: 'b2', tried: ['r1'] }, 2, () => 0)
+  crashSuspects.noteCrash(state, { ...features, backend: 'b2', tried: ['r1'] }, 2, BLAME_OPTIONS)
   crashSuspects.noteBegun(state, { request: 'r3', parts: ['part a'] })
   expect(crashSuspects.judge(state, features, ALONE, 3)).toBe('blamed')
   expect(crashSuspects.judge(state, { request: 'r4', parts: ['part a'] }, ALONE, 3)).toBe('run')
 })
 
+// Guards against blame for a class of requests, one of which was tried when another request crashed its backend server.
+test('a common part is blamed only after several trials', () => {
+  const state = crashSuspects.createCrashSuspects()
+  const options = { ...BLAME_OPTIONS, isCommon: (part: string) => part === 'class' }
+  const features = { request: 'later', parts: ['class'] }
+  crashSuspects.noteCrash(state, { request: 'r0', parts: ['class'], backend: 'b0', tried: [] }, 0, options)
+  for (const trial of [1, 2]) {
+    const interrupted = { request: `r${trial}`, parts: ['class'], backend: `b${trial}`, tried: ['class'] }
+    crashSuspects.noteCrash(state, interrupted, trial, options)
+    expect(crashSuspects.judge(state, features, ALONE, trial)).toBe('try')
+  }
+  crashSuspects.noteCrash(state, { request: 'r3', parts: ['class'], backend: 'b3', tried: ['class'] }, 3, options)
+  expect(crashSuspects.judge(state, features, ALONE, 3)).toBe('blamed')
+})
+
 function blame (state: crashSuspects.CrashSuspects, part: string): void {
-  crashSuspects.noteCrash(state, { request: 'r1', parts: [part], backend: 'b1', tried: [] }, 0, () => 0)
-  crashSuspects.noteCrash(state, { request: 'r2', parts: [part], backend: 'b2', tried: [part] }, 0, () => 0)
+  crashSuspects.noteCrash(state, { request: 'r1', parts: [part], backend: 'b1', tried: [] }, 0, BLAME_OPTIONS)
+  crashSuspects.noteCrash(state, { request: 'r2', parts: [part], backend: 'b2', tried: [part] }, 0, BLAME_OPTIONS)
 }
 
 function shareBegunAtOnce (requests: crashSimulation.SimulatedRequest[]): number {
--- a/src/state/crash-recurrence.ts
+++ b/src/state/crash-recurrence.ts
@@ -82,6 +82,8 @@
 const FALSE_BLAME_COMMON = 0.005
 /** Share of the running time of a common part, which half of the crashes with six requests have by chance. */
 const COMMON_SHARE = 0.1
+/** Share of a part that is at nearly all crashes with ten requests by chance. */
+const CERTAIN_SHARE = 0.2
 /** Evidence by which a culprit has to lead a feature that was at other crashes. */
 const MIN_LEAD = 1.5
 /** A blamed feature is tried again after this time, since the fault may have been mended. It doubles each time. */
@@ -189,6 +191,13 @@
   state.blames.set(feature, { atMs: nowMs, untilMs: nowMs + Math.min(remainingMs, MAX_BLAME_MS), count: 1 })
 }
 
+/** Whether so many requests have a part that it is probably there whenever a backend server of theirs crashes. */
+export function isCommon (state: CrashRecurrence, part: string, nowMs: number): boolean {
+  const usage = state.usage.part
+  return featureUsage.servicesWith(usage, part).some(service =>
+    featureUsage.usageShare(usage, { service, server: '' }, part, false, nowMs) > CERTAIN_SHARE)
+}
+
 function featureList ({ request, parts }: crashSuspects.Features): string[] {
   return [request, ...parts]
 }
--- a/src/state/crash-suspects.ts
+++ b/src/state/crash-suspects.ts
@@ -74,6 +74,8 @@
 const CLEARING_TIME_MS = 500
 /** A trial without a result ends after this time, and another request is tried. */
 const TRIAL_TIMEOUT_MS = 1_500
+/** Trials of common parts that have to end in a crash before these are blamed. */
+const COMMON_PART_TRIALS = 3
 const MAX_SUSPECTS = 2_000
 const MAX_CRASHES = 200
 /** Keeps a message to other gateways below the usual 1,400 bytes. */
@@ -129,13 +131,20 @@
   }
 }
 
+/** What blame depends on besides the crashes. */
+export interface BlameOptions {
+  /** Whether so many requests have a part that it is probably there whenever a backend server crashes. */
+  isCommon: (part: string) => boolean
+  /** Uniform in [0, 1). */
+  random: () => number
+}
+
 /**
  * Records a request that a crash interrupted before its response began.
- * @param random uniform in [0, 1).
  * @returns the features that are blamed now and were not before.
  */
 export function noteCrash (
-  state: CrashSuspects, interrupted: InterruptedRequest, nowMs: number, random: () => number
+  state: CrashSuspects, interrupted: InterruptedRequest, nowMs: number, options: BlameOptions
 ): string[] {
   prune(state, nowMs)
   const crash = state.crashes.get(interrupted.backend) ?? { atMs: nowMs, isExplained: false, requests: [] }
@@ -144,10 +153,12 @@
   crash.requests.push(interrupted)
   const blamed = interrupted.parts.filter(part => isBlamed(state.suspects.get(part), nowMs))
   if (blamed.length > 0) explain(state, crash)
-  for (const part of blamed) if (interrupted.tried.includes(part)) blame(state.suspects.get(part)!, nowMs, random)
+  for (const part of blamed.filter(blamedPart => interrupted.tried.includes(blamedPart))) {
+    blame(state.suspects.get(part)!, nowMs, options.random)
+  }
   if (crash.isExplained) return []
   for (const feature of featureList(interrupted)) suspect(state, feature, interrupted.backend, nowMs)
-  return blameRemaining(state, nowMs, random)
+  return blameRemaining(state, nowMs, options)
 }
 
 /** Records that a response began: its request's features crash nothing. @returns the features that were suspected. */
@@ -158,10 +169,10 @@
 
 /** @returns the features that are blamed because no other one remains. */
 export function applyCleared (
-  state: CrashSuspects, cleared: readonly string[], nowMs: number, random: () => number
+  state: CrashSuspects, cleared: readonly string[], nowMs: number, options: BlameOptions
 ): string[] {
   clear(state, cleared)
-  return blameRemaining(state, nowMs, random)
+  return blameRemaining(state, nowMs, options)
 }
 
 /** Blamed features with the time for which they still are, for gateways that have started since. */
@@ -230,14 +241,16 @@
 
 /**
  * Blames the suspected parts that remain of a request that was tried: one by itself, several only in combination. If
- * none remains, the request as a whole is to blame.
+ * none remains, the request as a whole is to blame. Requests with a common part are also interrupted by crashes of
+ * another cause, so one trial is no proof against it.
  */
-function blameRemaining (state: CrashSuspects, nowMs: number, random: () => number): string[] {
+function blameRemaining (state: CrashSuspects, nowMs: number, { isCommon, random }: BlameOptions): string[] {
   const blamed: string[] = []
   for (const crash of state.crashes.values()) {
     for (const { request, parts, tried } of crash.isExplained ? [] : crash.requests) {
       const remaining = parts.filter(part => tried.includes(part) && state.suspects.has(part))
       if (remaining.length === 0 && !tried.includes(request)) continue
+      if (remaining.length > 0 && remaining.every(isCommon) && trialsOf(state, remaining) < COMMON_PART_TRIALS) continue
       const culprit = remaining.length === 0 ? request : remaining.sort().join(COMBINATION_SEPARATOR)
       const known = state.suspects.get(culprit) ?? (remaining.length > 1 ? newSuspect(nowMs) : undefined)
       if (known === undefined || isBlamed(known, nowMs)) continue
@@ -250,6 +263,12 @@
   return blamed
 }
 
+/** Number of crashes that interrupted a trial of the parts. */
+function trialsOf (state: CrashSuspects, parts: readonly string[]): number {
+  return [...state.crashes.values()].filter(crash => !crash.isExplained &&
+    crash.requests.some(({ tried }) => parts.every(part => tried.includes(part)))).length
+}
+
 /** Blames a feature, or renews its blame after a trial at another gateway. */
 function blame (suspect: Suspect, nowMs: number, random: () => number): void {
   if (nowMs - suspect.blamedAtMs < SAME_TRIAL_MS) return
--- a/src/state/feature-usage.ts
+++ b/src/state/feature-usage.ts
@@ -91,6 +91,11 @@
   return usage.services.get(service)?.byFeature.size ?? 0
 }
 
+/** Services whose requests have had a feature of late. */
+export function servicesWith (usage: FeatureUsage, feature: string): string[] {
+  return [...usage.services].filter(([, { byFeature }]) => byFeature.has(feature)).map(([service]) => service)
+}
+
 function tableOf (tables: Map<string, UsageTable>, key: string): UsageTable {
   const known = tables.get(key)
   if (known !== undefined) return known
