client connections: answers before a body was read reach their clients

Cause: after a response with `Connection: close`, Node destroys the socket. Bytes of the client that were not read reset the connection, and with it the response.

Change: the connection ends its own direction and discards what the client still sends until it closes, within bounds of time and bytes. It is one place for entry, agents and the product's listeners.

Failed before: early-answers.spec, a client that reads only after it has sent 20 to 40 MB: 0 of 20 got the 413 (transport; entry, serving and during a stop), a slow one neither; the two others of the file, which guard the bounds, passed.

--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -13,10 +13,18 @@
 
 /** Time for a client to read the last response before its connection is closed with bytes that were not read. */
 const LINGER_MS = 1_000
+/** Interval at which a lingering connection is checked. */
+const LINGER_CHECK_MS = 250
 
 /** Time in which the rest of a body is discarded that the handler didn't read. */
 const UNREAD_BODY_MS = 30_000
 
+/** Time without bytes after which the rest of a body isn't awaited any more. */
+const UNREAD_IDLE_MS = 5_000
+
+/** Bytes that are discarded at most behind the last response of a connection. */
+export const MAX_DISCARDED_BYTES = 128_000_000
+
 /** @param refusalOf the whole response to a request that can't be read; it states `Connection: close`. */
 export function createServer (
   options: http.ServerOptions, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string = bareRefusal
@@ -85,6 +93,9 @@
     this.#socket = socket
     this.#handler = handler
     this.#refusalOf = refusalOf
+    // Called by Node after a response that states `Connection: close`. Its own method destroys the socket, so that
+    // unread bytes of the client reset the connection, and the response is lost.
+    socket.destroySoon = () => { this.#linger() }
     socket.once('end', () => { this.#noteClientEnd() })
     socket.once('close', () => { clearTimeout(this.#timer) })
   }
@@ -104,7 +115,10 @@
     exchange.response.once('close', () => {
       this.#current = undefined
       this.#serveNext()
-      if (!exchange.request.complete) this.#setTimer(UNREAD_BODY_MS, () => { this.#closeUnread(exchange.request) })
+      const isKept = this.#socket.writable
+      if (isKept && !exchange.request.complete) {
+        this.#setTimer(UNREAD_BODY_MS, () => { this.#closeUnread(exchange.request) })
+      }
     })
     this.#handler(exchange.request, exchange.response)
   }
@@ -140,9 +154,27 @@
 
   #end (lastWords: string): void {
     if (!this.#socket.writable) return
-    this.#socket.end(lastWords)
+    this.#socket.write(lastWords)
+    this.#linger()
+  }
+
+  /** Ends the connection, but discards what the client still sends, until it has closed its direction. */
+  #linger (): void {
+    const startedAtMs = performance.now()
+    const bytesBefore = this.#socket.bytesRead
+    let [lastBytes, lastBytesAtMs] = [bytesBefore, startedAtMs]
+    this.#socket.end()
     this.#latest?.request.resume()
-    this.#setTimer(LINGER_MS, () => { this.#socket.destroy() })
+    const check = (): void => {
+      const nowMs = performance.now()
+      const { bytesRead } = this.#socket
+      if (bytesRead !== lastBytes) [lastBytes, lastBytesAtMs] = [bytesRead, nowMs]
+      const isBodyOpen = this.#latest?.request.complete === false && nowMs - lastBytesAtMs < UNREAD_IDLE_MS
+      const limitMs = isBodyOpen ? UNREAD_BODY_MS : LINGER_MS
+      if (nowMs - startedAtMs > limitMs || bytesRead - bytesBefore > MAX_DISCARDED_BYTES) this.#socket.destroy()
+      else this.#setTimer(LINGER_CHECK_MS, check)
+    }
+    this.#setTimer(LINGER_CHECK_MS, check)
   }
 
   #closeUnread (request: http.IncomingMessage): void {
