gateway: a failed check of a crash ends no process

Cause: an attempt whose response has begun doesn't wait for the check of its backend server, so an exception there would have no handler. Change: it is logged as a fault of the request. Result: none was seen; 48 tests of the gateway, requests and crashing parts pass.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -56,6 +56,7 @@
       const noted = ctx.suspects.noteBroken(request, backend.row, tried, watch.hasResponded)
       // Before a response, the next attempt depends on whether this request may have crashed the backend server.
       if (!watch.hasResponded) await noted
+      else noted.catch((error: Error) => { ctx.log.emit('requestFault', { request: request.id, detail: error.stack }) })
     }
     ctx.metrics.attempts.inc({ outcome: outcome.kind })
     ctx.log.emit('attemptEnded', {
