tests: one load and one set of bounds for crashes

Cause: crash-recurrence.spec and crash-suspects.spec each had the load, the bounds, the random numbers and the measure of requests that begin at once. Change: crash-loads.ts has them; a comment of serve-call.ts that read like a story is reworded. Checks, bounds, seeds and figures of the loads are unchanged.

--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -164,7 +164,7 @@
       return
     }
     const queuedAtMs = ctx.nowMs()
-    // A request that waited for the trial of another one may no longer fit into the shutdown.
+    // A request that was held back until another one was answered may no longer fit into the shutdown.
     if (ctx.shutdown.latestStartMs(call, serviceMs) < queuedAtMs) {
       ctx.suspects.leave(call)
       const retryAfterMs = ctx.shutdown.retryAfterMs(call.clientDeadlineAtMs - queuedAtMs)
--- a/src/state/__tests__/crash-recurrence.spec.ts
+++ b/src/state/__tests__/crash-recurrence.spec.ts
@@ -1,44 +1,27 @@
 import * as vitest from 'vitest'
 import * as crashRecurrence from '../crash-recurrence.js'
-import * as crashSimulation from './crash-simulation.js'
+import * as crashLoads from './crash-loads.js'
+import type * as crashSimulation from './crash-simulation.js'
 
 const { expect, test } = vitest
+const { BASE_LOAD, CONTACT_MS, LEARNING_CRASHES, MAX_SENT_AFTERWARDS, SEEDS } = crashLoads
 
-/** The platform's time after which a process is expected to have heard of a change. */
-const CONTACT_MS = 3_000
-/** A crash counts as learned from after this many. */
-const LEARNING_CRASHES = 5
-/** Requests with the crashing part that may still be sent afterwards. */
-const MAX_SENT_AFTERWARDS = 3
-const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]
-
-const DAY: Omit<crashSimulation.CrashLoad, 'random'> = {
-  gateways: 8,
-  ranks: 12,
-  requestsPerS: 40,
-  crashingShare: 0.05,
-  crashingFromMs: 4_000,
+const STREAMS: crashLoads.Load = {
+  ...BASE_LOAD,
   crashingUntilMs: 40_000,
   crashAt: { share: 0, events: 1 },
   events: [10, 60],
-  isGroup: true,
   maxRuns: 3,
-  lossShare: 0,
-  killsAtMs: [],
-  powerLossesAtMs: [],
-  hasHomes: false,
-  failingRank: undefined,
-  durationMs: 45_000,
-  featuresOf: request => ({ request: `request ${request.id}`, parts: request.parts.slice(0, -1) })
+  durationMs: 45_000
 }
 const SINGLE = { isGroup: false, ranks: 6, requestsPerS: 20, gateways: 3 }
 /** All requests have one part in common, and no other one. */
-const SHARED: Pick<crashSimulation.CrashLoad, 'featuresOf'> = {
+const SHARED: Pick<crashLoads.Load, 'featuresOf'> = {
   featuresOf: request => ({ request: `request ${request.id}`, parts: ['shared'] })
 }
 
-const simulate = (seed: number, fields: Partial<crashSimulation.CrashLoad>): crashSimulation.CrashResult =>
-  crashSimulation.simulateCrashes({ ...DAY, ...fields, random: randomOf(seed) })
+const simulate = (seed: number, fields: Partial<crashLoads.Load>): crashSimulation.CrashResult =>
+  crashLoads.play({ ...STREAMS, ...fields }, seed)
 
 const POINTS = [
   ['before the first event', { share: 0, events: 0 }],
@@ -73,8 +56,8 @@
     const { requests, crashesAtMs } = simulate(seed, { crashAt })
     const learnedAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? crashesAtMs.at(-1)!) + 2 * CONTACT_MS
     const sound = requests.filter(request => request.parts[0] === 'class-0' && !request.isCrashing)
-    const during = shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < DAY.crashingUntilMs))
-    const outside = shareBegunAtOnce(sound.filter(({ atMs }) => atMs < DAY.crashingFromMs))
+    const during = crashLoads.shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < STREAMS.crashingUntilMs))
+    const outside = crashLoads.shareBegunAtOnce(sound.filter(({ atMs }) => atMs < STREAMS.crashingFromMs))
     expect(during).toBeGreaterThan(outside / 2)
   }
 })
@@ -205,18 +188,3 @@
   const knownAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? Infinity) + CONTACT_MS
   expect(crashingSentAtMs.filter(sentAtMs => sentAtMs > knownAtMs).length).toBeLessThanOrEqual(MAX_SENT_AFTERWARDS)
 }
-
-function shareBegunAtOnce (requests: crashSimulation.SimulatedRequest[]): number {
-  expect(requests.length).toBeGreaterThan(20)
-  const begun = requests.filter(({ begunAtMs, attempts }) => begunAtMs !== undefined && attempts === 1)
-  return begun.length / requests.length
-}
-
-/** Linear congruential generator, so that the load is the same in each run. */
-function randomOf (seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-    return state / 2 ** 32
-  }
-}
--- a/src/state/__tests__/crash-suspects.spec.ts
+++ b/src/state/__tests__/crash-suspects.spec.ts
@@ -1,43 +1,18 @@
 import * as vitest from 'vitest'
-import * as crashSimulation from './crash-simulation.js'
+import * as crashLoads from './crash-loads.js'
 import * as crashSuspects from '../crash-suspects.js'
+import type * as crashSimulation from './crash-simulation.js'
 
 const { expect, test } = vitest
+const { BASE_LOAD, CONTACT_MS, LEARNING_CRASHES, MAX_SENT_AFTERWARDS, SEEDS } = crashLoads
 
-/** The platform's time after which a process is expected to have heard of a change. */
-const CONTACT_MS = 3_000
-/** A crash counts as learned from after this many. */
-const LEARNING_CRASHES = 5
-/** Requests with the crashing part that may still be sent afterwards. */
-const MAX_SENT_AFTERWARDS = 3
 /** No other request waits. */
 const ALONE: crashSuspects.WaitingState = { fewestSuspected: Infinity, offeredForMs: Infinity }
 /** No part is common. */
 const BLAME_OPTIONS: crashSuspects.BlameOptions = { isCommon: () => false, random: () => 0 }
-const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10]
-
-const DAY: Omit<crashSimulation.CrashLoad, 'random'> = {
-  gateways: 8,
-  ranks: 12,
-  requestsPerS: 40,
-  crashingShare: 0.05,
-  crashingFromMs: 4_000,
-  crashingUntilMs: 60_000,
-  crashAt: { share: 0, events: 0 },
-  events: [1, 1],
-  isGroup: true,
-  maxRuns: Infinity,
-  lossShare: 0,
-  killsAtMs: [],
-  powerLossesAtMs: [],
-  hasHomes: false,
-  failingRank: undefined,
-  durationMs: 70_000,
-  featuresOf: request => ({ request: `request ${request.id}`, parts: request.parts.slice(0, -1) })
-}
 
-const simulate = (seed: number, fields: Partial<crashSimulation.CrashLoad> = {}): crashSimulation.CrashResult =>
-  crashSimulation.simulateCrashes({ ...DAY, ...fields, random: randomOf(seed) })
+const simulate = (seed: number, fields: Partial<crashLoads.Load> = {}): crashSimulation.CrashResult =>
+  crashLoads.play({ ...BASE_LOAD, ...fields }, seed)
 
 // Guards against requests with one crashing part that crash a backend server each, since no two are equal.
 test('requests with a part that crashes backend servers stop a group twice at most', () => {
@@ -69,9 +44,9 @@
     const { requests, crashesAtMs } = simulate(seed)
     const learnedAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? crashesAtMs.at(-1)!) + 2 * CONTACT_MS
     const sound = requests.filter(request => request.parts[0] === 'class-0' && !request.isCrashing)
-    const endMs = DAY.crashingUntilMs - 2_000
-    const during = shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < endMs))
-    const outside = shareBegunAtOnce(sound.filter(({ atMs }) => atMs < DAY.crashingFromMs))
+    const endMs = BASE_LOAD.crashingUntilMs - 2_000
+    const during = crashLoads.shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < endMs))
+    const outside = crashLoads.shareBegunAtOnce(sound.filter(({ atMs }) => atMs < BASE_LOAD.crashingFromMs))
     expect(during).toBeGreaterThan(outside / 2)
   }
 })
@@ -104,7 +79,7 @@
     const { requests } = simulate(seed, { crashingShare: 0, killsAtMs, durationMs: 30_000 })
     expect(requests.filter(request => request.wasRefused)).toEqual([])
     const later = requests.filter(({ atMs }) => atMs > 20_000 && atMs < 24_000)
-    expect(shareBegunAtOnce(later)).toBeGreaterThan(0.95)
+    expect(crashLoads.shareBegunAtOnce(later)).toBeGreaterThan(0.95)
   }
 })
 
@@ -169,18 +144,3 @@
   crashSuspects.noteCrash(state, { request: 'r1', parts: [part], backend: 'b1', tried: [] }, 0, BLAME_OPTIONS)
   crashSuspects.noteCrash(state, { request: 'r2', parts: [part], backend: 'b2', tried: [part] }, 0, BLAME_OPTIONS)
 }
-
-function shareBegunAtOnce (requests: crashSimulation.SimulatedRequest[]): number {
-  expect(requests.length).toBeGreaterThan(20)
-  const begun = requests.filter(({ begunAtMs, attempts }) => begunAtMs !== undefined && attempts === 1)
-  return begun.length / requests.length
-}
-
-/** Linear congruential generator, so that the load is the same in each run. */
-function randomOf (seed: number): () => number {
-  let state = seed
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0
-    return state / 2 ** 32
-  }
-}
