--- a/src/state/__tests__/crash-recurrence.spec.ts
+++ b/src/state/__tests__/crash-recurrence.spec.ts
@@ -56,7 +56,8 @@
     const { requests, crashesAtMs } = simulate(seed, { crashAt })
     const learnedAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? crashesAtMs.at(-1)!) + 2 * CONTACT_MS
     const sound = requests.filter(request => request.parts[0] === 'class-0' && !request.isCrashing)
-    const during = crashLoads.shareBegunAtOnce(sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < STREAMS.crashingUntilMs))
+    const later = sound.filter(({ atMs }) => atMs > learnedAtMs && atMs < STREAMS.crashingUntilMs)
+    const during = crashLoads.shareBegunAtOnce(later)
     const outside = crashLoads.shareBegunAtOnce(sound.filter(({ atMs }) => atMs < STREAMS.crashingFromMs))
     expect(during).toBeGreaterThan(outside / 2)
   }
