state: one rule for how long blame lasts

Cause: crash-suspects.ts and crash-recurrence.ts each had the period of blame, its spread and the time for crashes of the same blame. Change: blame-period.ts has them; values are unchanged.

--- a/src/state/crash-recurrence.ts
+++ b/src/state/crash-recurrence.ts
@@ -11,6 +11,7 @@
  * over the crashes, is the evidence against a feature. A response that ends whole clears its features.
  */
 
+import * as blamePeriod from './blame-period.js'
 import * as featureUsage from './feature-usage.js'
 import type * as crashSuspects from './crash-suspects.js'
 
@@ -86,13 +87,6 @@
 const CERTAIN_SHARE = 0.2
 /** Evidence by which a culprit has to lead a feature that was at other crashes. */
 const MIN_LEAD = 1.5
-/** A blamed feature is tried again after this time, since the fault may have been mended. It doubles each time. */
-const BLAME_MS = 60_000
-const MAX_BLAME_MS = 600_000
-/** Share by which gateways extend the time at random, so that they don't all try the feature at the same moment. */
-const BLAME_SPREAD = 0.5
-/** Crashes within this time of the blame come from requests that were under way. */
-const UNDER_WAY_MS = 3_000
 /** Keeps a message to other gateways below the usual 1,400 bytes. */
 const MAX_REPEATED = 10
 
@@ -188,7 +182,7 @@
  */
 export function applyBlamed (state: CrashRecurrence, feature: string, remainingMs: number, nowMs: number): void {
   if (state.blames.has(feature) || state.acquitted.has(feature)) return
-  state.blames.set(feature, { atMs: nowMs, untilMs: nowMs + Math.min(remainingMs, MAX_BLAME_MS), count: 1 })
+  state.blames.set(feature, { atMs: nowMs, untilMs: nowMs + Math.min(remainingMs, blamePeriod.MAX_BLAME_MS), count: 1 })
 }
 
 /** Whether so many requests have a part that it is probably there whenever a backend server of theirs crashes. */
@@ -282,14 +276,14 @@
 function renewBlames (state: CrashRecurrence, crash: Crash, nowMs: number, random: () => number): void {
   for (const feature of crash.features.keys()) {
     const known = state.blames.get(feature)
-    if (known !== undefined && crash.atMs - known.atMs >= UNDER_WAY_MS) blame(state, feature, nowMs, random)
+    const isTriedAgain = known !== undefined && crash.atMs - known.atMs >= blamePeriod.SAME_BLAME_MS
+    if (isTriedAgain) blame(state, feature, nowMs, random)
   }
 }
 
 function blame (state: CrashRecurrence, feature: string, nowMs: number, random: () => number): void {
   const count = (state.blames.get(feature)?.count ?? 0) + 1
-  const periodMs = Math.min(MAX_BLAME_MS, BLAME_MS * 2 ** (count - 1))
-  state.blames.set(feature, { atMs: nowMs, untilMs: nowMs + periodMs * (1 + BLAME_SPREAD * random()), count })
+  state.blames.set(feature, { atMs: nowMs, untilMs: nowMs + blamePeriod.blamePeriodMs(count, random), count })
 }
 
 function prune (state: CrashRecurrence, nowMs: number): void {
@@ -298,6 +292,6 @@
     if (untilMs + CRASH_LIFETIME_MS < nowMs) state.blames.delete(feature)
   }
   for (const [feature, atMs] of state.acquitted) {
-    if (atMs + MAX_BLAME_MS < nowMs) state.acquitted.delete(feature)
+    if (atMs + blamePeriod.MAX_BLAME_MS < nowMs) state.acquitted.delete(feature)
   }
 }
--- a/src/state/crash-suspects.ts
+++ b/src/state/crash-suspects.ts
@@ -11,6 +11,8 @@
  * only requests with all of them are refused, so that others can still clear some.
  */
 
+import * as blamePeriod from './blame-period.js'
+
 /** What a request consists of, as far as other requests may have it too. */
 export interface Features {
   /** Equal for all copies of a request. */
@@ -63,13 +65,6 @@
 
 /** A feature that isn't tried again for this long is no longer suspected. */
 const SUSPICION_LIFETIME_MS = 60_000
-/** A blamed feature is tried again after this time, since the fault may have been mended. It doubles each time. */
-const BLAME_MS = 60_000
-const MAX_BLAME_MS = 600_000
-/** Share by which gateways extend the time at random, so that they don't all try the feature at the same moment. */
-const BLAME_SPREAD = 0.5
-/** Crashes within this time are taken for the result of trials at the same moment. */
-const SAME_TRIAL_MS = 3_000
 /** Time for which a request with several suspected parts lets others clear some of them, once it could be sent. */
 const CLEARING_TIME_MS = 500
 /** A trial without a result ends after this time, and another request is tried. */
@@ -191,7 +186,7 @@
     const known = state.suspects.get(feature) ?? newSuspect(nowMs)
     if (known.blames > 0) continue
     known.blames = 1
-    known.blamedUntilMs = nowMs + Math.min(remainingMs, MAX_BLAME_MS)
+    known.blamedUntilMs = nowMs + Math.min(remainingMs, blamePeriod.MAX_BLAME_MS)
     known.blamedAtMs = nowMs
     state.suspects.set(feature, known)
     explainBy(state, feature)
@@ -271,10 +266,9 @@
 
 /** Blames a feature, or renews its blame after a trial at another gateway. */
 function blame (suspect: Suspect, nowMs: number, random: () => number): void {
-  if (nowMs - suspect.blamedAtMs < SAME_TRIAL_MS) return
+  if (nowMs - suspect.blamedAtMs < blamePeriod.SAME_BLAME_MS) return
   suspect.blames += 1
-  const periodMs = Math.min(MAX_BLAME_MS, BLAME_MS * 2 ** (suspect.blames - 1))
-  suspect.blamedUntilMs = nowMs + periodMs * (1 + BLAME_SPREAD * random())
+  suspect.blamedUntilMs = nowMs + blamePeriod.blamePeriodMs(suspect.blames, random)
   suspect.blamedAtMs = nowMs
 }
 
