gateway: say in the log why a cut stream was not continued, and when in the shutdown

The lines of a cut stream could not tell a stream that was given up while it ran (reason of the shutdown, of the queue) from one that was cut at the end of the shutdown. requestEnded gets noAttemptReason and stoppingForMs.

--- a/src/coordination/gateway/call-end.ts
+++ b/src/coordination/gateway/call-end.ts
@@ -55,11 +55,12 @@
       return
     }
   }
-  sendFailure(history, reply)
+  sendFailure(history, reply, reason)
 }
 
-export function sendFailure (history: callHistory.CallHistory, reply: replies.Reply): void {
-  if (history.progress.hasHead) reply.cut(history.lastFailure)
+/** @param noAttemptReason why no further backend server was tried. */
+export function sendFailure (history: callHistory.CallHistory, reply: replies.Reply, noAttemptReason?: string): void {
+  if (history.progress.hasHead) reply.cut(history.lastFailure, noAttemptReason)
   else if (history.failedResponse !== undefined) reply.forwardFailure(history.failedResponse)
   else reply.fail(502, history.lastFailure)
 }
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -47,10 +47,13 @@
     else this.refuse(reason, 0)
   }
 
-  /** Closes the connection of a stream that can't continue, so that the client doesn't take it for complete. */
-  cut (reason: string): void {
+  /**
+   * Closes the connection of a stream that can't continue, so that the client doesn't take it for complete.
+   * @param noAttemptReason why no further backend server was tried.
+   */
+  cut (reason: string, noAttemptReason?: string): void {
     this.#response.destroy()
-    this.#recordEnd('cut', { reason })
+    this.#recordEnd('cut', { reason, noAttemptReason })
   }
 
   /** Forwards a whole response of a backend server to the client. */
@@ -95,7 +98,11 @@
   #recordEnd (outcome: string, fields: Record<string, unknown>): void {
     this.#ctx.metrics.requests.inc({ outcome })
     this.#ctx.log.emit('requestEnded', {
-      request: this.#id, outcome, durationMs: Math.round(this.#ctx.nowMs() - this.#arrivedAtMs), ...fields
+      request: this.#id,
+      outcome,
+      durationMs: Math.round(this.#ctx.nowMs() - this.#arrivedAtMs),
+      stoppingForMs: this.#ctx.shutdown.stoppingForMs,
+      ...fields
     })
   }
 }
--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -49,6 +49,11 @@
     return this.#window !== undefined
   }
 
+  /** Time since the process began to stop, for the log; undefined while it does not stop. */
+  get stoppingForMs (): number | undefined {
+    return this.#window === undefined ? undefined : Math.round(this.#options.runtime.nowMs() - this.#window.startedAtMs)
+  }
+
   /** Time at which each open request is answered; Infinity while the process does not stop. */
   get answerByMs (): number {
     return this.#window?.answerByMs ?? Infinity
