gateway: a running attempt is kept until another one has responded

Callers saw streams of status 200 that ended early around SIGTERM, and requests that may be repeated were refused while a backend server ran them. Cause: an attempt without a sign for 1.1 s (700 ms before the first one) was ended as soon as 120 ms were left and the retry budget had a retry. Whether the next one could be made was decided afterwards, by the whole time that the route needs in the shutdown, by free slots, and by the next backend server. Class: giving up what one has before its replacement is certain.

An overdue attempt now goes on while a place for another one is looked for and that one is tried. The first to send an event stays and the others are ended; without a place, or after a refusal, the running one is kept and asks again. The silence still counts as a failure of its backend server once another one is looked for.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -1,17 +1,15 @@
 /**
- * Sends a call to one backend server and determines the outcome of the attempt.
+ * Sends a call to one backend server and determines the outcome of the attempt. A backend server that is silent does
+ * not end the attempt: whether another one can take over shows only when that one has begun to respond.
  */
 
 import type * as http from 'node:http'
 import * as answerEnd from '../../transport/answer-end.js'
 import * as availability from '../../state/availability.js'
 import * as backendPool from '../../state/backend-pool.js'
-import * as rankSilence from '../../state/rank-silence.js'
-import * as routingTable from '../../state/routing-table.js'
+import * as attemptWatch from './attempt-watch.js'
 import * as backendCall from './backend-call.js'
 import * as wholeResponse from './whole-response.js'
-import * as retries from './retries.js'
-import * as shutdown from './shutdown.js'
 import * as streamAttempt from './stream-attempt.js'
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as call from './call.js'
@@ -19,44 +17,62 @@
 
 /** A connection within a region opens within a few ms; a lost first packet is retransmitted only after a second. */
 const CONNECT_TIMEOUT_MS = 300
-/**
- * A silent resumable stream is moved to another backend server before clients give up, which they do after two seconds
- * without an event.
- */
-const EVENT_TIMEOUT_MS = 1_100
-/**
- * A request without a response is sent to another backend server after this multiple of the service's usual time. When
- * the whole service is slow, for example under high load, moving a request discards its work and gains nothing.
- */
-const FIRST_RESPONSE_TIMEOUT_FACTOR = 4
-const MIN_FIRST_RESPONSE_TIMEOUT_MS = 700
-
-/** A request at a rank whose host has stopped is moved after this time, whatever the usual time is. */
-const STOPPED_HOST_TIMEOUT_MS = 700
+export interface AttemptOptions {
+  /** Sum of prompt and expected output tokens. */
+  tokens: number
+  progress: streamAttempt.StreamProgress
+  /** Suspected features that the attempt tries out. */
+  tried: readonly string[]
+  /** Called when the backend server has been silent for long, again and again until it is heard. */
+  onOverdue: () => void
+  /** Called when an event was forwarded. */
+  onProgress: () => void
+}
 
-/** Interval at which a silent attempt is checked again. */
-const SILENCE_CHECK_MS = 100
+/** An attempt at a backend server that has not ended yet. */
+export interface RunningAttempt {
+  backend: backendPool.Backend
+  outcome: Promise<call.AttemptOutcome>
+  /** Whether the backend server has been silent for long. */
+  isOverdue: () => boolean
+  /** Waits for a whole silence again before asking for another attempt. */
+  restartSilence: () => void
+  /** Ends the attempt, because another one has responded. */
+  supersede: () => void
+}
 
-type StopReason = 'deadline' | 'client' | 'silent'
+export function startAttempt (
+  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, options: AttemptOptions
+): RunningAttempt {
+  const watch = new attemptWatch.AttemptWatch(ctx, request, backend, options.onOverdue)
+  return {
+    backend,
+    outcome: finishAttempt(ctx, request, backend, options, watch),
+    isOverdue: () => watch.isOverdue(),
+    restartSilence: () => { watch.restartSilenceTimer() },
+    supersede: () => { watch.stop('superseded') }
+  }
+}
 
-export async function tryBackend (
-  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, tokens: number,
-  progress: streamAttempt.StreamProgress, isRetryAllowed: boolean, tried: readonly string[]
+async function finishAttempt (
+  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, options: AttemptOptions,
+  watch: attemptWatch.AttemptWatch
 ): Promise<call.AttemptOutcome> {
+  const { progress, tried, tokens } = options
   const startedAtMs = ctx.nowMs()
-  const watch = new AttemptWatch(ctx, request, backend, isRetryAllowed)
   const isResumed = progress.lastEventId !== undefined
   try {
-    const outcome = await runAttempt(ctx, request, backend, progress, watch)
-    noteOutcome(ctx, request, backend, outcome)
+    const outcome = await runAttempt(ctx, request, backend, options, watch)
+    const result = resultOf(outcome)
+    if (result !== undefined) noteResult(ctx, request, backend, result)
     if (outcome.kind !== 'not_run') ctx.suspects.noteRun(request, backend.row, ctx.nowMs() - startedAtMs)
     // A stream that goes on where an earlier attempt broke off shows nothing of what crashed that one.
     if (watch.hasEndedWhole && !isResumed) ctx.suspects.noteWhole(request)
     if (outcome.kind === 'failed' && watch.stopReason === undefined) {
-      const noted = ctx.suspects.noteBroken(request, backend.row, tried, watch.hasResponded)
+      const checked = ctx.suspects.noteBroken(request, backend.row, tried, watch.hasResponded)
       // Before a response, the next attempt depends on whether this request may have crashed the backend server.
-      if (!watch.hasResponded) await noted
-      else noted.catch((error: Error) => { ctx.log.emit('requestFault', { request: request.id, detail: error.stack }) })
+      if (!watch.hasResponded) await checked
+      else checked.catch((error: Error) => { ctx.log.emit('requestFault', { request: request.id, detail: error.stack }) })
     }
     ctx.metrics.attempts.inc({ outcome: outcome.kind })
     ctx.log.emit('attemptEnded', {
@@ -78,9 +94,10 @@
 }
 
 async function runAttempt (
-  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend,
-  progress: streamAttempt.StreamProgress, watch: AttemptWatch
+  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, options: AttemptOptions,
+  watch: attemptWatch.AttemptWatch
 ): Promise<call.AttemptOutcome> {
+  const { progress } = options
   const sentAtMs = ctx.nowMs()
   const result = await backendCall.callBackend({
     address: backend.row.address,
@@ -125,6 +142,7 @@
       nowMs: ctx.nowMs,
       onEvent: () => {
         watch.noteEvent()
+        options.onProgress()
         const group = backend.row.group
         if (group !== undefined) backendPool.noteProgress(ctx.pool, group.name, undefined, ctx.nowMs())
       },
@@ -162,112 +180,10 @@
   response.destroy()
 }
 
-/** Ends an attempt at the deadline, when the client disconnects, or when the backend server is silent for too long. */
-class AttemptWatch {
-  stopReason: StopReason | undefined
-  readonly #ctx: context.GatewayContext
-  readonly #backend: backendPool.Backend
-  readonly #controller = new AbortController()
-  readonly #deadlineTimer: NodeJS.Timeout
-  readonly #isRetryAllowed: boolean
-  readonly #sentAtMs: number
-  readonly #call: call.Call
-  #silenceTimeoutMs: number
-  #silentSinceMs: number
-  /** Whether an event or a whole response has arrived. */
-  hasResponded = false
-  /** Whether the response has ended in a way that a crash can't bring about. */
-  hasEndedWhole = false
-  readonly #callSignal: AbortSignal
-  readonly #onAborted: () => void
-  #silenceTimer: NodeJS.Timeout | undefined
-
-  constructor (ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, isRetryAllowed: boolean) {
-    this.#ctx = ctx
-    this.#backend = backend
-    this.#deadlineTimer = setTimeout(() => { this.#stop('deadline') }, Math.max(0, request.deadlineAtMs - ctx.nowMs()))
-    this.#isRetryAllowed = isRetryAllowed && routingTable.mayRepeat(request.route)
-    this.#silenceTimeoutMs = Math.max(
-      MIN_FIRST_RESPONSE_TIMEOUT_MS,
-      FIRST_RESPONSE_TIMEOUT_FACTOR * backendPool.firstResponseMs(ctx.pool, request.service)
-    )
-    this.#sentAtMs = ctx.nowMs()
-    this.#silentSinceMs = this.#sentAtMs
-    this.#call = request
-    this.#callSignal = request.signal
-    this.#onAborted = () => { this.#stop(shutdown.isStopping(request.signal) ? 'deadline' : 'client') }
-    if (request.signal.aborted) this.#onAborted()
-    else request.signal.addEventListener('abort', this.#onAborted, { once: true })
-    this.#restartSilenceTimer()
-  }
-
-  get signal (): AbortSignal {
-    return this.#controller.signal
-  }
-
-  /** Called when an event or a whole response has arrived. */
-  noteEvent (): void {
-    if (!this.hasResponded) {
-      this.hasResponded = true
-      this.#ctx.suspects.noteBegun(this.#call)
-      this.#silenceTimeoutMs = EVENT_TIMEOUT_MS
-      backendPool.noteFirstResponse(this.#ctx.pool, this.#call.service, this.#ctx.nowMs() - this.#sentAtMs)
-    }
-    backendPool.noteHeard(this.#backend, this.#ctx.nowMs())
-    this.#restartSilenceTimer()
-  }
-
-  #restartSilenceTimer (): void {
-    clearTimeout(this.#silenceTimer)
-    if (!this.#isRetryAllowed) return
-    this.#silentSinceMs = this.#ctx.nowMs()
-    this.#checkSilenceIn(Math.min(this.#silenceTimeoutMs, STOPPED_HOST_TIMEOUT_MS))
-  }
-
-  #checkSilenceIn (delayMs: number): void {
-    this.#silenceTimer = setTimeout(() => { this.#checkSilence() }, delayMs)
-  }
-
-  /**
-   * Ends the attempt only if another one may follow. A rank is not at fault when its whole group is stalled, and
-   * without a retry left in the budget a late response is better than none.
-   */
-  #checkSilence (): void {
-    const ctx = this.#ctx
-    const nowMs = ctx.nowMs()
-    const remainingMs = this.#silentSinceMs + this.#silenceTimeoutMs - nowMs
-    const isOverdue = remainingMs <= 0 || rankSilence.isSilent(ctx.pool, this.#backend, nowMs)
-    if (!isOverdue) this.#checkSilenceIn(Math.min(remainingMs, SILENCE_CHECK_MS))
-    else if (backendPool.isGroupStalled(ctx.pool, this.#backend, nowMs)) this.#checkSilenceIn(SILENCE_CHECK_MS)
-    else if (retries.hasTimeLeft(ctx, this.#call) && this.#call.retries.take()) this.#stop('silent')
-    else this.#restartSilenceTimer()
-  }
-
-  outcome (wasSent: boolean): call.AttemptOutcome {
-    if (this.stopReason === 'client') return { kind: 'client_gone' }
-    if (this.stopReason === 'deadline') return { kind: 'timed_out', wasSent }
-    return wasSent
-      ? { kind: 'failed', reason: 'the backend server is silent', isRetryGranted: this.stopReason === 'silent' }
-      : { kind: 'not_run', reason: 'no connection in time', cause: 'unreachable' }
-  }
-
-  close (): void {
-    clearTimeout(this.#deadlineTimer)
-    clearTimeout(this.#silenceTimer)
-    this.#callSignal.removeEventListener('abort', this.#onAborted)
-  }
-
-  #stop (reason: StopReason): void {
-    this.stopReason ??= reason
-    this.#controller.abort()
-  }
-}
-
-function noteOutcome (
-  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, outcome: call.AttemptOutcome
+/** Applies how a backend server has dealt with a request. */
+export function noteResult (
+  ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, result: backendPool.AttemptResult
 ): void {
-  const result = resultOf(outcome)
-  if (result === undefined) return
   if (backendPool.noteResult(ctx.pool, backend, result, ctx.nowMs())) {
     ctx.log.emit('backendEjected', {
       backend: backend.row.id, untilInMs: Math.round(backend.ejectedUntilMs - ctx.nowMs()), request: request.id
@@ -281,6 +197,7 @@
     case 'response': return outcome.status >= 500 ? 'failed' : 'succeeded'
     case 'not_run': return outcome.cause
     case 'failed': return 'failed'
+    case 'superseded':
     case 'timed_out':
     case 'client_gone': return undefined
   }
--- a/src/coordination/gateway/call.ts
+++ b/src/coordination/gateway/call.ts
@@ -61,10 +61,12 @@
   /** The backend server has not run the request and never will. */
   | { kind: 'not_run', reason: string, cause: NotRunCause }
   /** The request may have run; nothing, or only whole events, reached the client. */
-  | { kind: 'failed', reason: string, isRetryGranted?: boolean }
+  | { kind: 'failed', reason: string }
   /** The route's or the client's deadline has passed, or the process is about to exit. */
   | { kind: 'timed_out', wasSent: boolean }
   | { kind: 'client_gone' }
+  /** Another attempt at the same request has responded. */
+  | { kind: 'superseded' }
 
 /** Estimated number of output tokens of a request. */
 export function expectedOutputTokens (head: callCodec.CallHead, engine: routingTable.EngineModel): number {
--- /dev/null
+++ b/src/coordination/gateway/running-attempts.ts
@@ -0,0 +1,128 @@
+/**
+ * The attempts at one request that have not ended. An attempt that is overdue goes on while another one is started: the
+ * first to send an event stays, and the others are ended.
+ */
+
+import * as backendPool from '../../state/backend-pool.js'
+import * as attempt from './attempt.js'
+import type * as callModule from './call.js'
+import type * as context from './context.js'
+import type * as streamAttempt from './stream-attempt.js'
+
+export type AttemptEvent =
+  /** All running attempts have been silent for long. Comes again until one of them is heard. */
+  | { kind: 'overdue' }
+  | { kind: 'ended', backendId: string, outcome: callModule.AttemptOutcome }
+
+export interface StartOptions {
+  /** Sum of prompt and expected output tokens. */
+  tokens: number
+  progress: streamAttempt.StreamProgress
+  /** Suspected features that the attempt tries out. */
+  tried: readonly string[]
+}
+
+export class RunningAttempts {
+  readonly #ctx: context.GatewayContext
+  readonly #call: callModule.Call
+  readonly #running = new Set<attempt.RunningAttempt>()
+  /** Attempts whose silence counts as a failure of their backend servers. */
+  readonly #blamed = new WeakSet<attempt.RunningAttempt>()
+  readonly #events: (AttemptEvent | { kind: 'fault', error: Error })[] = []
+  #search: AbortController | undefined
+  #wake = (): void => {}
+
+  constructor (ctx: context.GatewayContext, call: callModule.Call) {
+    this.#ctx = ctx
+    this.#call = call
+  }
+
+  get count (): number {
+    return this.#running.size
+  }
+
+  /** Whether nothing runs and nothing that has ended is still to be handled. */
+  get isIdle (): boolean {
+    return this.#running.size === 0 && this.#events.length === 0
+  }
+
+  get areOverdue (): boolean {
+    return [...this.#running].every(running => running.isOverdue())
+  }
+
+  /** Backend servers that run the request. */
+  get backendIds (): string[] {
+    return [...this.#running].map(running => running.backend.row.id)
+  }
+
+  start (backend: backendPool.Backend, options: StartOptions): void {
+    const running = attempt.startAttempt(this.#ctx, this.#call, backend, {
+      ...options,
+      onOverdue: () => { if (this.areOverdue) this.#push({ kind: 'overdue' }) },
+      onProgress: () => { this.#keepOnly(running) }
+    })
+    this.#running.add(running)
+    running.outcome.then(
+      outcome => { this.#noteEnded(running, { kind: 'ended', backendId: backend.row.id, outcome }) },
+      (error: Error) => { this.#noteEnded(running, { kind: 'fault', error }) }
+    )
+  }
+
+  /** Resolves with what happens next. @throws Error that ended an attempt. */
+  async next (): Promise<AttemptEvent> {
+    for (;;) {
+      const event = this.#events.shift()
+      if (event?.kind === 'fault') throw event.error
+      if (event !== undefined) return event
+      await new Promise<void>(resolve => { this.#wake = resolve })
+    }
+  }
+
+  /** @returns a signal that is aborted as soon as no further attempt is wanted. */
+  searchSignal (): AbortSignal {
+    if (this.#running.size === 0) return this.#call.signal
+    this.#search = new AbortController()
+    return AbortSignal.any([this.#call.signal, this.#search.signal])
+  }
+
+  /** Counts the silence as a failure of each backend server, once. */
+  blameSilent (): void {
+    for (const running of this.#running) {
+      if (this.#blamed.has(running)) continue
+      this.#blamed.add(running)
+      attempt.noteResult(this.#ctx, this.#call, running.backend, 'failed')
+    }
+  }
+
+  /** Waits for a whole silence before the running attempts count as overdue again. */
+  restartSilence (): void {
+    for (const running of this.#running) running.restartSilence()
+  }
+
+  /** Ends what still runs. */
+  stop (): void {
+    this.#keepOnly(undefined)
+  }
+
+  #keepOnly (kept: attempt.RunningAttempt | undefined): void {
+    this.#search?.abort()
+    for (const running of this.#running) {
+      if (running === kept) continue
+      this.#running.delete(running)
+      running.supersede()
+    }
+  }
+
+  #noteEnded (running: attempt.RunningAttempt, event: AttemptEvent | { kind: 'fault', error: Error }): void {
+    if (this.#running.delete(running)) this.#push(event)
+    else if (event.kind === 'fault') {
+      this.#ctx.log.emit('requestFault', { request: this.#call.id, detail: event.error.stack })
+    }
+  }
+
+  #push (event: AttemptEvent | { kind: 'fault', error: Error }): void {
+    if (event.kind !== 'overdue') this.#search?.abort()
+    this.#events.push(event)
+    this.#wake()
+  }
+}
