gateway: a stream that goes on elsewhere needs only what is left of it

Callers saw streams cut at the end of the shutdown whose backend server had fallen silent although another one was sound. Cause: whether a continuation fits into the shutdown, or before the deadline, was judged by the time that a whole stream needs.

--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -96,7 +96,7 @@
     }
     const queuedAtMs = ctx.nowMs()
     // A request that was held back until another one was answered may no longer fit into the shutdown.
-    if (ctx.shutdown.latestStartMs(call, serviceMs) < queuedAtMs) {
+    if (ctx.shutdown.latestStartMs(call, serviceMs, servedMs(history)) < queuedAtMs) {
       ctx.suspects.leave(candidate)
       const retryAfterMs = ctx.shutdown.retryAfterMs(call.clientDeadlineAtMs - queuedAtMs)
       return {
@@ -168,13 +168,22 @@
  * before the client gives up because no event arrives.
  */
 function latestStartMs ({ ctx, call, history, serviceMs }: Offer): number {
-  const byDeadlineMs = Math.min(call.deadlineAtMs - serviceMs, ctx.shutdown.latestStartMs(call, serviceMs))
+  const doneMs = servedMs(history)
+  const byDeadlineMs = Math.min(
+    call.deadlineAtMs - Math.max(0, serviceMs - doneMs), ctx.shutdown.latestStartMs(call, serviceMs, doneMs)
+  )
   if (!call.route.isStream) return byDeadlineMs
   const lastEventAtMs = history.progress.lastEventAtMs ?? call.arrivedAtMs
   const firstResponseMs = backendPool.firstResponseMs(ctx.pool, call.service)
   return Math.min(byDeadlineMs, lastEventAtMs + routingTable.clientStreamTimeoutMs(call.route) - firstResponseMs)
 }
 
+/** Time in which a stream that goes on elsewhere has got this far; the rest needs as much less. */
+function servedMs ({ progress, timing }: callHistory.CallHistory): number {
+  if (!progress.hasHead || progress.lastEventAtMs === undefined || timing === undefined) return 0
+  return progress.lastEventAtMs - timing.startedAtMs
+}
+
 /**
  * A request that arrives with less than this fraction of the route's time left is a client's retry: a first attempt has
  * nearly all of it.
--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -71,11 +71,14 @@
     return controller.signal
   }
 
-  /** Latest time to send a request to a backend server; Infinity while the process does not stop. */
-  latestStartMs (call: StoppableCall, expectedMs: number): number {
+  /**
+   * Latest time to send a request to a backend server; Infinity while the process does not stop.
+   * @param servedMs time for which a stream that goes on elsewhere has already been served.
+   */
+  latestStartMs (call: StoppableCall, expectedMs: number, servedMs = 0): number {
     if (this.#window === undefined) return Infinity
     const neededMs = serviceTimes.neededMs(this.times, call.route.name, expectedMs, this.#options.runtime.nowMs())
-    return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, neededMs)
+    return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, Math.max(0, neededMs - servedMs))
   }
 
   /** Pause after which the client of a refused request may retry. */
