gateway: a stopping entry leaves time for a new stream to be continued once

Streams that were accepted late in a shutdown and then paused were cut at its end. Cause: what a stream needs is estimated from what the process has seen, which is nothing about rare pauses, and little in a process that lives for seconds.

--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -209,7 +209,8 @@
 
 /** A late response is better than none, so that without a further attempt what runs is kept. */
 function handleOverdue (offer: Offer): NextStep {
-  const { ctx, call, running } = offer
+  const { ctx, call, history, running } = offer
+  if (history.progress.hasHead) ctx.shutdown.noteOverdueStream()
   if (!running.areOverdue || !mayRunAgain(offer) || !retries.hasTimeLeft(ctx, call)) return 'wait'
   if (!call.retries.take()) {
     running.restartSilence()
--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -19,7 +19,7 @@
 }
 
 interface StoppableCall {
-  route: { name: string }
+  route: { name: string, isStream: boolean }
   deadlineAtMs: number
 }
 
@@ -39,6 +39,7 @@
   readonly #options: ShutdownOptions
   readonly #open = new Set<AbortController>()
   #window: shutdownWindow.ShutdownWindow | undefined
+  #overdueAtMs = -Infinity
 
   constructor (options: ShutdownOptions) {
     this.#options = options
@@ -81,6 +82,20 @@
     return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, Math.max(0, neededMs - servedMs))
   }
 
+  /** Latest time to accept a new request; Infinity while the process does not stop. */
+  latestAcceptMs (call: StoppableCall, expectedMs: number): number {
+    if (this.#window === undefined) return Infinity
+    const { hasReadyPeer, runtime: { nowMs } } = this.#options
+    const risk = { hasReadyPeer: hasReadyPeer(), overdueAtMs: this.#overdueAtMs }
+    const reserveMs = call.route.isStream ? shutdownWindow.streamReserveMs(risk, nowMs()) : 0
+    return this.latestStartMs(call, expectedMs) - reserveMs
+  }
+
+  /** Called when a stream that has begun is overdue. */
+  noteOverdueStream (): void {
+    this.#overdueAtMs = this.#options.runtime.nowMs()
+  }
+
   /** Pause after which the client of a refused request may retry. */
   retryAfterMs (remainingMs: number): number {
     const { hasReadyPeer, runtime: { random } } = this.#options
--- a/src/state/__tests__/shutdown-window.spec.ts
+++ b/src/state/__tests__/shutdown-window.spec.ts
@@ -87,3 +87,12 @@
   expect(times.ended.size).toBeLessThanOrEqual(512)
   expect(times.running.size).toBe(0)
 })
+
+test('a new stream leaves time to go on elsewhere if a refused client has another entry, or if others were overdue', () => {
+  const reserveMs = (hasReadyPeer: boolean, overdueAtMs: number): number =>
+    shutdownWindow.streamReserveMs({ hasReadyPeer, overdueAtMs }, 20_000)
+  expect(reserveMs(true, -Infinity)).toBeGreaterThan(1_100)
+  expect(reserveMs(false, 19_000)).toBe(reserveMs(true, -Infinity))
+  expect(reserveMs(false, -Infinity)).toBe(0)
+  expect(reserveMs(false, 1_000)).toBe(0)
+})
--- a/src/state/shutdown-window.ts
+++ b/src/state/shutdown-window.ts
@@ -36,3 +36,24 @@
 export function latestStartMs (window: ShutdownWindow, deadlineAtMs: number, neededMs: number): number {
   return deadlineAtMs <= window.answerByMs ? Infinity : window.answerByMs - neededMs
 }
+
+/** An attempt that is silent counts as overdue after 1.1 s, and the next one needs some time for its first event. */
+const RECOVERY_MS = 1_500
+/** Time for which an attempt that was overdue shows that others may be. */
+const SILENCE_MEMORY_MS = 10_000
+
+export interface StreamRisk {
+  /** Whether a client that is refused has another entry to go to. */
+  hasReadyPeer: boolean
+  /** When a stream was overdue for the last time; -Infinity if none was. */
+  overdueAtMs: number
+}
+
+/**
+ * Time to leave beside what a new stream needs, so that another backend server may continue it once and it still ends
+ * in time: a stream that has begun can't be answered otherwise. A refusal costs little if there is another entry; if
+ * there is none, only what was seen counts.
+ */
+export function streamReserveMs (risk: StreamRisk, nowMs: number): number {
+  return risk.hasReadyPeer || nowMs - risk.overdueAtMs < SILENCE_MEMORY_MS ? RECOVERY_MS : 0
+}
