gateway: a response is forwarded before an earlier silence is handled

Callers saw: a whole response of a request that may be repeated arrived late, and the request ran once more after it had its response.

Cause: an attempt that is overdue says so every 300 ms, also while a place for another attempt is awaited. These events stay queued. When the attempt then ends, the queued silence is handled before the response; with no attempt running all of them count as overdue, so another one is looked for. If its place has to be awaited, so has the response. The backend server that has just responded is not excluded either.

Change: what an attempt has said of its silence is dropped when an attempt ends.

--- a/src/coordination/gateway/running-attempts.ts
+++ b/src/coordination/gateway/running-attempts.ts
@@ -28,7 +28,7 @@
   readonly #running = new Set<attempt.RunningAttempt>()
   /** Attempts whose silence counts as a failure of their backend servers. */
   readonly #blamed = new WeakSet<attempt.RunningAttempt>()
-  readonly #events: (AttemptEvent | { kind: 'fault', error: Error })[] = []
+  #events: (AttemptEvent | { kind: 'fault', error: Error })[] = []
   #search: AbortController | undefined
   #wake = (): void => {}
 
@@ -121,7 +121,11 @@
   }
 
   #push (event: AttemptEvent | { kind: 'fault', error: Error }): void {
-    if (event.kind !== 'overdue') this.#search?.abort()
+    if (event.kind !== 'overdue') {
+      this.#search?.abort()
+      // What has ended may be a response; an earlier silence must not start another attempt first.
+      this.#events = this.#events.filter(({ kind }) => kind !== 'overdue')
+    }
     this.#events.push(event)
     this.#wake()
   }
