gateway: an attempt that was ended for another one counts towards max-attempts

Callers saw: nothing.

Cause: only attempts whose outcome is handled were counted as runs. One that is ended because another has responded has no outcome that is handled, so it left the count of running attempts and entered no other. Before attempts ran side by side, a silent attempt counted as failed.

Change: an attempt that was ended for another one counts if it was sent.

--- a/src/coordination/gateway/attempt-watch.ts
+++ b/src/coordination/gateway/attempt-watch.ts
@@ -125,7 +125,7 @@
   outcome (wasSent: boolean): callModule.AttemptOutcome {
     if (this.stopReason === 'client') return { kind: 'client_gone' }
     if (this.stopReason === 'deadline') return { kind: 'timed_out', wasSent }
-    return { kind: 'superseded' }
+    return { kind: 'superseded', wasSent }
   }
 
   close (): void {
--- a/src/coordination/gateway/call.ts
+++ b/src/coordination/gateway/call.ts
@@ -66,7 +66,7 @@
   | { kind: 'timed_out', wasSent: boolean }
   | { kind: 'client_gone' }
   /** Another attempt at the same request has responded. */
-  | { kind: 'superseded' }
+  | { kind: 'superseded', wasSent: boolean }
 
 /** Estimated number of output tokens of a request. */
 export function expectedOutputTokens (head: callCodec.CallHead, engine: routingTable.EngineModel): number {
--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -265,7 +265,8 @@
 
 /** Whether the request may be run by another backend server besides those that have run it or still do. */
 function mayRunAgain ({ call, history, running }: Offer): boolean {
-  return routingTable.mayRepeat(call.route) && history.runs + running.count < call.route.maxServers &&
+  const runs = history.runs + running.supersededRuns + running.count
+  return routingTable.mayRepeat(call.route) && runs < call.route.maxServers &&
     streamAttempt.canContinue(history.progress)
 }
 
--- a/src/coordination/gateway/running-attempts.ts
+++ b/src/coordination/gateway/running-attempts.ts
@@ -14,6 +14,8 @@
   | { kind: 'overdue' }
   | { kind: 'ended', backendId: string, outcome: callModule.AttemptOutcome }
 
+type EndEvent = AttemptEvent & { kind: 'ended' } | { kind: 'fault', error: Error }
+
 export interface StartOptions {
   /** Sum of prompt and expected output tokens. */
   tokens: number
@@ -31,6 +33,7 @@
   #events: (AttemptEvent | { kind: 'fault', error: Error })[] = []
   #search: AbortController | undefined
   #wake = (): void => {}
+  #supersededRuns = 0
 
   constructor (ctx: context.GatewayContext, call: callModule.Call) {
     this.#ctx = ctx
@@ -41,6 +44,11 @@
     return this.#running.size
   }
 
+  /** Number of attempts that were ended for another one and may have run. */
+  get supersededRuns (): number {
+    return this.#supersededRuns
+  }
+
   /** Whether nothing runs and nothing that has ended is still to be handled. */
   get isIdle (): boolean {
     return this.#running.size === 0 && this.#events.length === 0
@@ -113,11 +121,11 @@
     }
   }
 
-  #noteEnded (running: attempt.RunningAttempt, event: AttemptEvent | { kind: 'fault', error: Error }): void {
+  #noteEnded (running: attempt.RunningAttempt, event: EndEvent): void {
     if (this.#running.delete(running)) this.#push(event)
     else if (event.kind === 'fault') {
       this.#ctx.log.emit('requestFault', { request: this.#call.id, detail: event.error.stack })
-    }
+    } else if (mayHaveRun(event.outcome)) this.#supersededRuns += 1
   }
 
   #push (event: AttemptEvent | { kind: 'fault', error: Error }): void {
@@ -130,3 +138,8 @@
     this.#wake()
   }
 }
+
+function mayHaveRun (outcome: callModule.AttemptOutcome): boolean {
+  if (outcome.kind === 'superseded' || outcome.kind === 'timed_out') return outcome.wasSent
+  return outcome.kind !== 'not_run'
+}
