gateway: a stream that has not begun takes one place at a time

Keeping silent attempts cost places under high load: requests without a first event mostly wait at their backend server, and held a place at two of them. Nothing of such a stream has reached the client, so its attempt now ends when another one has a place, and not before.

--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -158,6 +158,8 @@
     lastEventId: history.progress.lastEventId,
     overdueAt: running.count === 0 ? undefined : running.backendIds
   })
+  // Nothing has reached the client yet, and under high load a second place would be one that another request lacks.
+  if (call.route.isStream && !history.progress.hasHead) running.stop()
   call.retries.noteSent()
   history.timing ??= serviceTimes.noteStarted(ctx.shutdown.times, call.route.name, serviceMs, ctx.nowMs())
   running.start(backend, { tokens, progress: history.progress, tried })
@@ -233,7 +235,7 @@
       return 'done'
     case 'timed_out':
       reply.timedOut(
-        outcome.wasSent || history.runs > 0 || running.count > 0,
+        outcome.wasSent || history.runs + running.supersededRuns + running.count > 0,
         shutdown.isStopping(call.signal) ? 'process_stopping' : 'deadline'
       )
       return 'done'
