gateway: a comment of another backend server ends no running stream

Callers saw: a stream cut amid its pause, although its backend server would have ended it whole.

Cause: the first attempt that forwards anything ends the others. A comment (a block without id and data) can be forwarded at any place, so one from a backend server that then has no event ended the running stream: the new attempt failed, and no other was left.

Change: in a stream that goes on elsewhere, only what has an id ends the other attempts.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -25,7 +25,7 @@
   tried: readonly string[]
   /** Called when the backend server has been silent for long, again and again until it is heard. */
   onOverdue: () => void
-  /** Called when an event was forwarded. */
+  /** Called when an event was forwarded that the client did not have. */
   onProgress: () => void
 }
 
@@ -140,9 +140,9 @@
       headers: ctx.shutdown.isDraining ? [...headers, 'Connection', 'close'] : headers,
       status,
       nowMs: ctx.nowMs,
-      onEvent: () => {
+      onEvent: isProgress => {
         watch.noteEvent()
-        options.onProgress()
+        if (isProgress) options.onProgress()
         const group = backend.row.group
         if (group !== undefined) backendPool.noteProgress(ctx.pool, group.name, undefined, ctx.nowMs())
       },
--- a/src/coordination/gateway/stream-attempt.ts
+++ b/src/coordination/gateway/stream-attempt.ts
@@ -27,8 +27,8 @@
   headers: string[]
   status: number
   nowMs: () => number
-  /** Called after an event was forwarded. */
-  onEvent: () => void
+  /** Called after an event was forwarded. @param isProgress false for a comment in a stream that goes on elsewhere. */
+  onEvent: (isProgress: boolean) => void
   signal: AbortSignal
 }
 
@@ -129,6 +129,6 @@
   progress.events += 1
   progress.lastEventAtMs = options.nowMs()
   if (event.id !== undefined) progress.lastEventId = event.id
-  options.onEvent()
+  options.onEvent(!isContinued || event.id !== undefined)
   return undefined
 }
