gateway: an overdue attempt asks no more full backend servers than any other one

Callers saw: nothing. Retries of the budget were used up by requests to full backend servers.

Cause: a request that was declined six times is offered no further, except by the overdue attempt, which asks again every 300 ms and did not check it.

Change: it does.

Evidence: the test (twelve backend servers, a stream that pauses for 1.95 s, all others full for it) failed on with 8 refusals where 6 are allowed, and passes with the change.

--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -211,7 +211,8 @@
 function handleOverdue (offer: Offer): NextStep {
   const { ctx, call, history, running } = offer
   if (history.progress.hasHead) ctx.shutdown.noteOverdueStream()
-  if (!running.areOverdue || !mayRunAgain(offer) || !retries.hasTimeLeft(ctx, call)) return 'wait'
+  const mayOffer = mayRunAgain(offer) && history.offers < MAX_OFFERS
+  if (!running.areOverdue || !mayOffer || !retries.hasTimeLeft(ctx, call)) return 'wait'
   if (!call.retries.take()) {
     running.restartSilence()
     return 'wait'
