gateway: a client that does not read makes no backend server overdue

Callers saw: nothing. A sound backend server was charged with a failure, which can eject it, and the stream ran again elsewhere at the expense of the retry budget.

Cause: while a client does not read, the stream of the backend server is paused, so that no event arrives.

Change: nothing is overdue while the response to the client has to drain.

--- a/src/coordination/gateway/attempt-watch.ts
+++ b/src/coordination/gateway/attempt-watch.ts
@@ -101,9 +101,10 @@
     this.#silenceTimer = setTimeout(() => { this.#checkSilence() }, delayMs)
   }
 
-  /** A rank is not at fault when its whole group is stalled. */
+  /** A rank is not at fault when its whole group is stalled, nor any backend server when the client does not read. */
   #checkSilence (): void {
-    if (!this.isOverdue()) {
+    if (this.#call.response.writableNeedDrain) this.restartSilenceTimer()
+    else if (!this.isOverdue()) {
       this.#checkSilenceIn(Math.max(1, Math.min(this.#remainingSilenceMs(), SILENCE_CHECK_MS)))
     } else if (backendPool.isGroupStalled(this.#ctx.pool, this.#backend, this.#ctx.nowMs())) {
       this.#checkSilenceIn(SILENCE_CHECK_MS)
