gateway: a stopping process reads what has arrived before it closes connections

Cause: after a pause the poll of the shutdown runs before sockets are read; it closed the listener and idle connections because nothing that it knew of was open.

--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -29,6 +29,8 @@
 /** Pause before a refused client tries another entry. */
 const OTHER_ENTRY_RETRY_MS = 50
 const POLL_MS = 20
+/** A poll that comes so late shows that the process was held up, and that bytes have arrived which it has not read. */
+const HELD_UP_MS = 100
 /** Time to send the last answers. */
 const FLUSH_MS = 50
 const FLUSH_POLL_MS = 5
@@ -114,17 +116,23 @@
     const { runtime: { nowMs, log } } = this.#options
     const { startedAtMs, answerByMs, exitByMs } = this.#window!
     const closed = new AbortController()
+    let polledAtMs = nowMs()
+    let hasBeenIdle = false
     while (nowMs() < exitByMs && !closed.signal.aborted) {
-      if (nowMs() >= answerByMs) this.#abortOpen()
-      if (this.#open.size === 0 && nowMs() - startedAtMs > clientLeaveMs) {
+      const isIdle = this.#open.size === 0 && nowMs() - polledAtMs < HELD_UP_MS
+      polledAtMs = nowMs()
+      if (polledAtMs >= answerByMs) this.#abortOpen()
+      if (isIdle && hasBeenIdle && polledAtMs - startedAtMs > clientLeaveMs) {
         if (server === undefined) break
         // A connection on which a request has begun stays open until its response is sent.
         if (server.listening) server.close(() => { closed.abort() })
         server.closeIdleConnections()
       }
+      hasBeenIdle = isIdle
       await timers.setTimeout(POLL_MS)
     }
-    // The process may have been held up until now.
+    // The process may have been held up until now. What has arrived meanwhile is read in the next turns, and refused.
+    for (let turn = 0; turn < 2; turn++) await timers.setImmediate()
     this.#abortOpen()
     const flushedByMs = nowMs() + FLUSH_MS
     while (this.#open.size > 0 && nowMs() < flushedByMs) await timers.setTimeout(FLUSH_POLL_MS)
