gateway: a stream that has brought only comments begins anew elsewhere

Callers saw: a stream of status 200 that was cut before its first event, although another backend server could run it.

Cause: a comment is forwarded with the head of the response. After the head a stream went on elsewhere only behind the id of its last event, and there is none.

Change: it is the events that the client has which decide, not the head.

--- a/src/coordination/gateway/call-history.ts
+++ b/src/coordination/gateway/call-history.ts
@@ -31,6 +31,7 @@
     offers: 0,
     progress: {
       hasHead: false,
+      hasEvents: false,
       mediaType: undefined,
       lastEventId,
       events: 0,
--- a/src/coordination/gateway/stream-attempt.ts
+++ b/src/coordination/gateway/stream-attempt.ts
@@ -11,6 +11,8 @@
 /** How much of the stream the client has received. */
 export interface StreamProgress {
   hasHead: boolean
+  /** Whether the client has more than comments. */
+  hasEvents: boolean
   /** Media type of the response head that the client has. */
   mediaType: string | undefined
   lastEventId: number | undefined
@@ -37,7 +39,7 @@
 
 /** Whether another attempt can go on where the stream broke off. */
 export function canContinue (progress: StreamProgress): boolean {
-  return !progress.hasHead || progress.lastEventId !== undefined
+  return !progress.hasEvents || progress.lastEventId !== undefined
 }
 
 /** @returns the reason if a response can't continue the stream whose head the client has. */
@@ -127,6 +129,7 @@
   }
   response.write(event.bytes)
   progress.events += 1
+  if (event.hasData || event.id !== undefined) progress.hasEvents = true
   progress.lastEventAtMs = options.nowMs()
   if (event.id !== undefined) progress.lastEventId = event.id
   options.onEvent(!isContinued || event.id !== undefined)
