gateway: an overdue attempt ends its trial, and its backend server gets the request no second time meanwhile

A request that tries out a suspected part was sent elsewhere only after 1.5 s instead of 0.7 s, since its own trial had the next attempt wait: the trial ends with the silence now, as it did when the attempt ended with it. A request that was sent to all backend servers could return to the one that still runs it: those that run it are left out of the placement, and all of those that were overdue count as tried. attempts-review.spec.ts, "tries out a suspected part": failed before, passes now.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -37,6 +37,8 @@
   isOverdue: () => boolean
   /** Waits for a whole silence again before asking for another attempt. */
   restartSilence: () => void
+  /** The silence shows nothing of the features that the attempt tries out, and others may try them out. */
+  endTrial: () => void
   /** Ends the attempt, because another one has responded. */
   supersede: () => void
 }
@@ -45,9 +47,19 @@
   ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, options: AttemptOptions
 ): RunningAttempt {
   const watch = new attemptWatch.AttemptWatch(ctx, request, backend, options.onOverdue)
+  let isTrial = true
+  const endTrial = (): void => {
+    if (isTrial) ctx.suspects.end(options.tried)
+    isTrial = false
+  }
   return {
     backend,
-    outcome: finishAttempt(ctx, request, backend, options, watch),
+    outcome: finishAttempt(ctx, request, backend, options, watch).finally(() => {
+      endTrial()
+      backendPool.noteFinished(backend, options.tokens)
+      ctx.queue.placeWaiting()
+    }),
+    endTrial,
     isOverdue: () => watch.isOverdue(),
     restartSilence: () => { watch.restartSilenceTimer() },
     supersede: () => { watch.stop('superseded') }
@@ -58,7 +70,7 @@
   ctx: context.GatewayContext, request: call.Call, backend: backendPool.Backend, options: AttemptOptions,
   watch: attemptWatch.AttemptWatch
 ): Promise<call.AttemptOutcome> {
-  const { progress, tried, tokens } = options
+  const { progress, tried } = options
   const startedAtMs = ctx.nowMs()
   const isResumed = progress.lastEventId !== undefined
   try {
@@ -87,9 +99,6 @@
     return outcome
   } finally {
     watch.close()
-    ctx.suspects.end(tried)
-    backendPool.noteFinished(backend, tokens)
-    ctx.queue.placeWaiting()
   }
 }
 
--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -115,7 +115,8 @@
         isReturning: isReturning(call)
       },
       service: call.service,
-      excluded: new Set([...history.excluded, ...running.backendIds]),
+      excluded: history.excluded,
+      ...(running.count === 0 ? {} : { running: new Set(running.backendIds) }),
       tokens,
       latestStartMs: () => latestStartMs(offer),
       signal
@@ -158,6 +159,7 @@
     lastEventId: history.progress.lastEventId,
     overdueAt: running.count === 0 ? undefined : running.backendIds
   })
+  for (const id of running.backendIds) history.excluded.add(id)
   // Nothing has reached the client yet, and under high load a second place would be one that another request lacks.
   if (call.route.isStream && !history.progress.hasHead) running.stop()
   call.retries.noteSent()
--- a/src/coordination/gateway/running-attempts.ts
+++ b/src/coordination/gateway/running-attempts.ts
@@ -93,11 +93,12 @@
     return AbortSignal.any([this.#call.signal, this.#search.signal])
   }
 
-  /** Counts the silence as a failure of each backend server, once. */
+  /** Counts the silence as a failure of each backend server, once, and lets others try out what they were to show. */
   blameSilent (): void {
     for (const running of this.#running) {
       if (this.#blamed.has(running)) continue
       this.#blamed.add(running)
+      running.endTrial()
       attempt.noteResult(this.#ctx, this.#call, running.backend, 'failed')
     }
   }
--- a/src/coordination/gateway/service-queue.ts
+++ b/src/coordination/gateway/service-queue.ts
@@ -15,6 +15,8 @@
   service: string
   /** Ids of backend servers that the request was already sent to. */
   excluded: ReadonlySet<string>
+  /** Ids of those that run it now. */
+  running?: ReadonlySet<string>
   /** Sum of prompt and expected output tokens. */
   tokens: number
   /** Latest start as of now, for a call that waits while a shutdown begins. */
@@ -167,7 +169,7 @@
         waiters.splice(waiters.indexOf(waiter), 1)
         waiter.settle({ kind: 'placed', backend })
         candidates = candidates.filter(other => other !== waiter)
-      } else if (waiter.request.excluded.size > 0) {
+      } else if (waiter.request.excluded.size > 0 || waiter.request.running !== undefined) {
         // The next request may be allowed to use a slot that this one may not.
         candidates = candidates.filter(other => other !== waiter)
       } else break
@@ -191,7 +193,12 @@
   #tryPlace (request: PlaceRequest): backendPool.Backend | undefined {
     const { pool, failureDomain, runtime: { nowMs, random, metrics } } = this.#options
     const found = placement.place(pool, {
-      service: request.service, failureDomain, excluded: request.excluded, nowMs: nowMs(), random
+      service: request.service,
+      failureDomain,
+      excluded: request.excluded,
+      running: request.running,
+      nowMs: nowMs(),
+      random
     })
     if (found.kind === 'paused') this.#pausedUntilMs.set(request.service, found.untilMs)
     else this.#pausedUntilMs.delete(request.service)
--- a/src/state/placement.ts
+++ b/src/state/placement.ts
@@ -15,6 +15,8 @@
   failureDomain: string
   /** Backend servers to which the request was already sent. */
   excluded: ReadonlySet<string>
+  /** Those of them that run it now, and get it no second time. */
+  running?: ReadonlySet<string>
   nowMs: number
   /** Uniform in [0, 1); breaks ties. */
   random: () => number
@@ -52,8 +54,13 @@
   const ready: backendPool.Backend[] = []
   let pausedUntilMs = Infinity
   let limitedPerSecond: number | undefined
+  let isRunning = false
   for (const backend of pool.backends.values()) {
     if (backend.row.service !== query.service) continue
+    if (query.running?.has(backend.row.id) === true) {
+      isRunning = true
+      continue
+    }
     const block = availability.blockOf(pool, backend, query.nowMs)
     if (block === undefined) ready.push(backend)
     else if (block === 'paused') pausedUntilMs = Math.min(pausedUntilMs, backend.pausedUntilMs)
@@ -61,6 +68,7 @@
   }
   if (ready.length === 0) {
     if (limitedPerSecond !== undefined) return { kind: 'limited', perSecond: limitedPerSecond }
+    if (isRunning) return { kind: 'full' }
     return pausedUntilMs === Infinity ? { kind: 'none' } : { kind: 'paused', untilMs: pausedUntilMs }
   }
   // A request that was sent to all of them may return to one: most refused it only because they were full.
