--- a/src/state/__tests__/placement.spec.ts
+++ b/src/state/__tests__/placement.spec.ts
@@ -178,3 +178,11 @@
     return state / 2 ** 32
   }
 }
+
+// Guards against a second run of a request at the backend server that runs it.
+test('a backend server that runs the request gets it no second time', () => {
+  const pool = poolOf(2)
+  const query = { service: 's', failureDomain: 'near', excluded: new Set(['s0', 's1']), nowMs: 0, random: () => 0.5 }
+  expect(placement.place(pool, { ...query, running: new Set(['s0']) })).toMatchObject({ backend: { row: { id: 's1' } } })
+  expect(placement.place(pool, { ...query, running: new Set(['s0', 's1']) }).kind).toBe('full')
+})
