gateway: a request is not sent back to a backend server that was silent

Callers saw: a stream without an event until its deadline, although a sound backend server was free.

Cause: a backend server is excluded from further attempts when its attempt has failed. Since the silent attempt of a stream that has not begun is ended when another backend server has a place, which excludes nothing. If that one is full, the next place may be the silent one's again, and then no run is left.

Change: a backend server whose silence has another one looked for is excluded.

--- a/src/coordination/gateway/call-history.ts
+++ b/src/coordination/gateway/call-history.ts
@@ -7,7 +7,7 @@
 import type * as streamAttempt from './stream-attempt.js'
 
 export interface CallHistory {
-  /** Backend servers that did not accept or did not complete the request. */
+  /** Backend servers that did not accept or did not complete the request, or were silent for long. */
   excluded: Set<string>
   /** Number of backend servers on which the request may have run. */
   runs: number
--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -220,6 +220,7 @@
     return 'wait'
   }
   running.blameSilent()
+  for (const backendId of running.backendIds) history.excluded.add(backendId)
   return 'again'
 }
 
