--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -159,7 +159,6 @@
     lastEventId: history.progress.lastEventId,
     overdueAt: running.count === 0 ? undefined : running.backendIds
   })
-  for (const id of running.backendIds) history.excluded.add(id)
   // Nothing has reached the client yet, and under high load a second place would be one that another request lacks.
   if (call.route.isStream && !history.progress.hasHead) running.stop()
   call.retries.noteSent()
