relay, stream-store: join an unfinished event in linear time

An event that arrives in many chunks was copied and searched as a whole for each chunk, in the entry's relay and in the agent's store, so that one large event keeps either process busy and delays all its other streams.

Both now use protocol/whole-events.ts, which searches each chunk once and joins an event when it is whole. Blank lines behind the last event no longer make a stream in the store look broken off.

--- a/src/coordination/__tests__/relay.spec.ts
+++ b/src/coordination/__tests__/relay.spec.ts
@@ -75,3 +75,13 @@
   vitest.expect(body.length).toBeGreaterThan(0)
   vitest.expect(isComplete).toBe(false)
 })
+
+// Guards against an event in many small chunks that keeps the process busy for a time that grows with its square.
+vitest.test('a large event in small chunks is relayed in time linear in its size', async () => {
+  const text = 'x'.repeat(128)
+  const before = process.cpuUsage()
+  const { body, isComplete } = await relayAll(sourceOf([...Array<string>(16_384).fill(text), '\n', '\n'], false), [])
+  const used = process.cpuUsage(before)
+  vitest.expect([body.length, isComplete]).toEqual([16_384 * 128 + 2, true])
+  vitest.expect((used.user + used.system) / 1_000).toBeLessThan(1_500)
+})
--- a/src/coordination/relay.ts
+++ b/src/coordination/relay.ts
@@ -8,6 +8,7 @@
 import type * as streamRecovery from './stream-recovery.js'
 import type * as call from '../protocol/call.js'
 import * as headers from '../protocol/headers.js'
+import * as wholeEvents from '../protocol/whole-events.js'
 import * as outcomes from '../state/outcome.js'
 import type * as backendClient from '../transport/backend-client.js'
 
@@ -31,7 +32,6 @@
 const MAX_RECOVERIES = 5
 /** Relayed events are kept up to this size, to continue the answer on another backend server. */
 const MAX_KEPT_BYTES = 256 * 1024
-const EVENT_END = Buffer.from('\n\n')
 
 export async function relayAnswer (
   env: environment.Environment,
@@ -123,19 +123,17 @@
 async function relayEvents (
   answer: backendClient.BackendAnswer, response: http.ServerResponse, onEvents: (events: Buffer) => void
 ): Promise<'complete' | 'broken' | 'caller_gone'> {
-  let pending: Buffer = Buffer.alloc(0)
+  const splitter = new wholeEvents.WholeEvents()
   try {
     for await (const chunk of answer.body as AsyncIterable<Buffer>) {
       if (response.destroyed) return 'caller_gone'
-      const data = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
-      const end = data.lastIndexOf(EVENT_END)
-      pending = end < 0 ? data : data.subarray(end + EVENT_END.length)
-      if (end < 0) continue
-      const events = data.subarray(0, end + EVENT_END.length)
+      const whole = splitter.push(chunk)
+      if (whole.length === 0) continue
+      const events = whole.length === 1 ? whole[0]! : Buffer.concat(whole)
       onEvents(events)
       if (!response.write(events)) await waitForDrainOrClose(response)
     }
-    return pending.length === 0 ? 'complete' : 'broken'
+    return splitter.hasPartialEvent ? 'broken' : 'complete'
   } catch {
     return response.destroyed ? 'caller_gone' : 'broken'
   }
--- a/src/coordination/stream-store.ts
+++ b/src/coordination/stream-store.ts
@@ -5,6 +5,7 @@
 import * as stream from 'node:stream'
 import * as environment from './environment.js'
 import * as streamId from '../protocol/stream-id.js'
+import * as wholeEvents from '../protocol/whole-events.js'
 
 interface HeldStream {
   chunks: Buffer[]
@@ -39,7 +40,6 @@
 const ABANDONED_GRACE_MS = 5_000
 const RETENTION_MS = 30_000
 const MAX_HELD_BYTES = 8 * 1024 * 1024
-const EVENT_END = Buffer.from('\n\n')
 const SWEEP_PERIOD_MS = 1_000
 
 export function createStreamStore (
@@ -54,19 +54,14 @@
       chunks: [], sizeBytes: 0, state: 'open', idleSinceMs: env.nowMs(), readers: 0, source, waiters: new Set()
     }
     streams.set(attemptId, held)
-    let pending: Buffer = Buffer.alloc(0)
+    const splitter = new wholeEvents.WholeEvents()
     try {
       for await (const chunk of source as AsyncIterable<Buffer>) {
-        pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
-        let end = pending.indexOf(EVENT_END)
-        while (end >= 0) {
-          append(attemptId, held, pending.subarray(0, end))
-          pending = pending.subarray(end + EVENT_END.length)
-          end = pending.indexOf(EVENT_END)
-        }
-        wakeReaders(held)
+        const events = splitter.push(chunk)
+        for (const event of events) append(attemptId, held, event)
+        if (events.length > 0) wakeReaders(held)
       }
-      held.state = pending.length === 0 ? 'complete' : 'broken'
+      held.state = splitter.hasPartialEvent ? 'broken' : 'complete'
     } catch {
       held.state = 'broken'
     }
@@ -137,8 +132,8 @@
   let offsetBytes = before.offsetBytes
   for (;;) {
     const idLine = Buffer.from(`id: ${streamId.formatStreamId({ ...before, offsetBytes })}\n`)
-    const afterBytes = before.offsetBytes + idLine.length + event.length + EVENT_END.length
-    if (afterBytes === offsetBytes) return Buffer.concat([idLine, event, EVENT_END])
+    const afterBytes = before.offsetBytes + idLine.length + event.length
+    if (afterBytes === offsetBytes) return Buffer.concat([idLine, event])
     offsetBytes = afterBytes
   }
 }
--- /dev/null
+++ b/src/protocol/whole-events.ts
@@ -0,0 +1,42 @@
+/**
+ * Cuts the bytes of an event stream into whole events. The time is linear in the length of an event, however small the
+ * chunks are in which it arrives.
+ */
+
+const EVENT_END = Buffer.from('\n\n')
+const LINE_FEED = 0x0a
+
+export class WholeEvents {
+  /** Chunks of the event that is not whole yet. */
+  #rest: Buffer[] = []
+
+  /** @returns the events that are whole now, each with the blank line that ends it. */
+  push (chunk: Buffer): Buffer[] {
+    const events: Buffer[] = []
+    let start = 0
+    for (let end = this.#firstEnd(chunk); end > 0; end = endAfter(chunk, start)) {
+      this.#rest.push(chunk.subarray(start, end))
+      events.push(this.#rest.length === 1 ? this.#rest[0]! : Buffer.concat(this.#rest))
+      this.#rest = []
+      start = end
+    }
+    if (start < chunk.length) this.#rest.push(chunk.subarray(start))
+    return events
+  }
+
+  /** Whether the last event is incomplete; blank lines behind an event are none. */
+  get hasPartialEvent (): boolean {
+    return this.#rest.some(chunk => chunk.some(byte => byte !== LINE_FEED))
+  }
+
+  #firstEnd (chunk: Buffer): number {
+    const isDivided = this.#rest.at(-1)?.at(-1) === LINE_FEED && chunk[0] === LINE_FEED
+    return isDivided ? 1 : endAfter(chunk, 0)
+  }
+}
+
+/** @returns the index after the next event; 0 when none ends in the chunk. */
+function endAfter (chunk: Buffer, start: number): number {
+  const at = chunk.indexOf(EVENT_END, start)
+  return at < 0 ? 0 : at + EVENT_END.length
+}
