entry: a stopping entry refuses at once calls that would not end in time

Callers of the product's entry were accepted for 7 s after SIGTERM whatever its drain timeout was: a call that could not end before the exit ran and was answered with 504 at the end, and one that arrived behind the last answers (at 90% of the drain timeout) was cut without an answer.

--- a/playground/__tests__/calls-at-exit.spec.ts
+++ b/playground/__tests__/calls-at-exit.spec.ts
@@ -1,6 +1,7 @@
 import * as timers from 'node:timers/promises'
 import * as vitest from 'vitest'
 import * as cluster from '../cluster.js'
+import * as operator from '../operator.js'
 
 const SHUTDOWN_MS = 2_000
 const WORK_MS = 4_000
@@ -24,11 +25,16 @@
   await deployment.stop()
 })
 
-/** @returns the status of the answer, 0 if the connection ends without one. */
-async function callOnce (): Promise<number> {
-  return await fetch(`http://${deployment.entries[0]!.address}/services/archive/x`, {
+/** @returns the answer; undefined if the connection ends without one. */
+async function send (entry = deployment.entries[0]!): Promise<Response | undefined> {
+  return await fetch(`http://${entry.address}/services/archive/x`, {
     method: 'POST', headers: { authorization: `Bearer ${cluster.teamKey('support')}` }, body: 'question'
-  }).then(response => response.status, () => 0)
+  }).catch(() => undefined)
+}
+
+/** @returns the status of the answer, 0 if the connection ends without one. */
+async function callOnce (entry = deployment.entries[0]!): Promise<number> {
+  return (await send(entry))?.status ?? 0
 }
 
 // Guards against callers that learn nothing of a call which is in flight when the entry's drain timeout is over.
@@ -45,3 +51,27 @@
   await timers.setTimeout(1_000)
   vitest.expect(await callOnce()).not.toBe(0)
 })
+
+// Guards against calls that run although their entry exits before they can end, and against callers that wait for that.
+vitest.test('a stopping entry refuses at once a call that has no time to end', async () => {
+  vitest.expect(await callOnce()).toBe(200)
+  deployment.entries[0]!.process.kill('SIGTERM')
+  await cluster.waitFor('the entry drains', SHUTDOWN_MS, async () =>
+    (await fetch(`http://${deployment.entries[0]!.address}/readyz`)).status === 503)
+  const sentAtMs = performance.now()
+  const answer = await send()
+  vitest.expect([answer?.status, answer?.headers.get('bulrush-outcome')]).toEqual([503, 'not_run'])
+  vitest.expect(performance.now() - sentAtMs).toBeLessThan(SHUTDOWN_MS / 2)
+  vitest.expect(await operator.runsOf(deployment.backends[0]!)).toBe(1)
+})
+
+// Guards against calls that are accepted after the last answers were given, and cut by the exit.
+vitest.test('a call that arrives just before the exit is answered', async () => {
+  const shutdownMs = 6_000
+  const entry = await deployment.startEntry(1, ['--drain-timeout-ms', String(shutdownMs)])
+  await deployment.publishHosts()
+  await deployment.waitUntilServing()
+  entry.process.kill('SIGTERM')
+  await timers.setTimeout(0.92 * shutdownMs)
+  vitest.expect(await callOnce(entry)).toBe(503)
+})
--- a/src/coordination/call-handler.ts
+++ b/src/coordination/call-handler.ts
@@ -6,6 +6,7 @@
 import type * as http from 'node:http'
 import type * as admissionGate from './admission-gate.js'
 import type * as attemptSender from './attempt-sender.js'
+import type * as callWindow from './call-window.js'
 import * as claimStore from './claim-store.js'
 import type * as configurationTask from './configuration-task.js'
 import type * as dispatcher from './dispatcher.js'
@@ -33,6 +34,7 @@
   claims: claimStore.ClaimStore
   issuer: keyIssuer.KeyIssuer
   recovery: streamRecovery.StreamRecovery
+  window: callWindow.CallWindow
 }
 
 export interface CallHandler {
@@ -81,6 +83,8 @@
       requestId, method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, body: body.body
     }, team, env.nowMs())
     if (parsed.kind === 'refused') return fail(parsed)
+    const late = parts.window.refusalOf(parsed.call)
+    if (late !== undefined) return fail(late)
     const callerDisconnected = new AbortController()
     response.once('close', () => {
       open.delete(end)
@@ -123,10 +127,12 @@
     const admitted = await parts.admission.admit(request, signal)
     if (admitted.kind === 'refused') {
       // An earlier request with the key may have run, and the claim has not been read.
-      const isUnknown = request.idempotencyKey !== undefined && !request.isRepeatable
-      return isUnknown ? { ...admitted, outcome: 'may_have_run' } : admitted
+      return call.mayHaveRunBefore(request) ? { ...admitted, outcome: 'may_have_run' } : admitted
     }
     try {
+      // The call may have waited in the queue.
+      const late = parts.window.refusalOf(request)
+      if (late !== undefined) return late
       return await answerCall(request, raw, response, signal)
     } finally {
       admitted.release()
@@ -138,11 +144,16 @@
   ): Promise<outcomes.Refusal | undefined> {
     let earlier: outcomes.Outcome = 'not_run'
     for (let brokenAnswers = 0; ; brokenAnswers++) {
+      const endMeasurement = parts.window.measure(request)
       const dispatched = await dispatch(request, raw, signal, earlier)
-      if (dispatched.kind === 'refused') return dispatched
+      if (dispatched.kind === 'refused') {
+        endMeasurement(false)
+        return dispatched
+      }
       const source = { ...dispatched, offsetBytes: 0, isContinuation: false }
       const relayed = await relay.relayAnswer(env, request, source, response,
         broken => parts.recovery.recover(request, broken, signal))
+      endMeasurement(relayed.kind === 'relayed')
       env.log.emit('requestCompleted', {
         requestId: request.requestId,
         agentAddress: dispatched.server.address,
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -12,6 +12,7 @@
 import * as attemptPolicy from './attempt-policy.js'
 import * as attemptSender from './attempt-sender.js'
 import * as callHandler from './call-handler.js'
+import * as callWindow from './call-window.js'
 import * as claimSharing from './claim-sharing.js'
 import * as claimStore from './claim-store.js'
 import * as configurationGuard from './configuration-guard.js'
@@ -110,8 +111,6 @@
   drain: () => Promise<void>
 }
 
-/** Share of the drain timeout after which calls are answered that have not ended. */
-const ANSWER_FRACTION = 0.9
 const HOST_REFRESH_PERIOD_MS = 1_000
 const METRICS_PERIOD_MS = 5_000
 /** A reachable peer answers within this time; when none has, the table service is read. */
@@ -211,7 +210,9 @@
     shareAbove: options.shareClaimsAbove
   }, signal)
   const dispatch = dispatcher.createDispatcher(env, { servers, sender, attempts })
+  const window = callWindow.createCallWindow(env)
   const calls = callHandler.createCallHandler(env, {
+    window,
     configuration,
     sender,
     admission,
@@ -284,7 +285,8 @@
   async function drainUntilEmpty (): Promise<void> {
     drain.set('terminated', true)
     // Callers learn of calls that don't end in time; otherwise the exit would close their connections without a word.
-    const lastAnswers = setTimeout(() => { calls.endOpen() }, options.drainTimeoutMs * ANSWER_FRACTION)
+    const answerByMs = window.begin(options.drainTimeoutMs)
+    const lastAnswers = setTimeout(() => { calls.endOpen() }, answerByMs - env.nowMs())
     await gate.waitUntilDrained()
     clearTimeout(lastAnswers)
     env.log.emit('drainFinished')
--- a/src/protocol/call.ts
+++ b/src/protocol/call.ts
@@ -33,6 +33,8 @@
   /** Prefixes of the prompt, one for each message up to a maximum number, shortest first. */
   prefixes: prefixHints.PromptPrefix[]
   resumeFrom: streamId.StreamPosition | undefined
+  /** Longest completion that the caller asks for; undefined when it sets none, and for plain services. */
+  maxTokens: number | undefined
 }
 
 export interface RawCall {
@@ -103,11 +105,17 @@
       idempotencyKey,
       fingerprint: fingerprintOf(team.name, target.served.name, raw.method, target.backendPath, raw.body),
       prefixes: target.prefixes,
-      resumeFrom
+      resumeFrom,
+      maxTokens: target.maxTokens
     }
   }
 }
 
+/** Whether an earlier request with the same key, or the stream to resume, may have run through another entry. */
+export function mayHaveRunBefore (request: Call): boolean {
+  return request.resumeFrom !== undefined || (request.idempotencyKey !== undefined && !request.isRepeatable)
+}
+
 interface ParsedTarget {
   kind: 'target'
   served: serverView.Served
@@ -116,6 +124,7 @@
   /** Parsed body of a chat completion. */
   document: Record<string, unknown> | undefined
   prefixes: prefixHints.PromptPrefix[]
+  maxTokens: number | undefined
 }
 
 function parsePlain (raw: RawCall): ParsedTarget | outcomes.Refusal {
@@ -126,7 +135,7 @@
   const remainder = end < 0 ? '/' : rest.slice(end)
   const backendPath = remainder.startsWith('/') ? remainder : `/${remainder}`
   const served = { kind: 'plain' as const, name }
-  return { kind: 'target', served, backendPath, isStreaming: false, document: undefined, prefixes: [] }
+  return { kind: 'target', served, backendPath, isStreaming: false, document: undefined, prefixes: [], maxTokens: undefined }
 }
 
 function parseChat (raw: RawCall): ParsedTarget | outcomes.Refusal {
@@ -148,10 +157,16 @@
     backendPath: CHAT_PATH,
     isStreaming: parsed.data.stream === true,
     document: parsed.data,
-    prefixes: prefixesOf(parsed.data.model, parsed.data.messages)
+    prefixes: prefixesOf(parsed.data.model, parsed.data.messages),
+    maxTokens: maxTokensOf(parsed.data)
   }
 }
 
+function maxTokensOf (document: Record<string, unknown>): number | undefined {
+  return [document['max_completion_tokens'], document['max_tokens']]
+    .find((value): value is number => Number.isSafeInteger(value) && (value as number) > 0)
+}
+
 /** Each prefix extends the one before it by a message, as in a conversation. */
 function prefixesOf (model: string, messages: readonly object[]): prefixHints.PromptPrefix[] {
   const texts = messages.map(message => JSON.stringify(message))
