entry: resume a stream while its agent restarts

A caller that resumed its stream at another entry while the stream's agent was down got 410, 'no longer held', at once, although the engine held the stream and the agent came back: an agent process that has left is removed from the server view, and the position names the process, not its host. The caller started over and was refused, because no agent was there.

The server task now finds processes that have left within 60 s, so that the stream is sought on their hosts. As long as no other backend server is in rotation, to which a caller that starts over could go, the host is awaited for up to 10 s more, within the deadline of the request.

Failed before: 'streams are resumed at another entry while their agents restart' (4 of 4 streams refused, now 0). Two tests of the same file passed before too and show no fault: 8 of 8 streams whose backend servers pause for 1.2 and 1.9 s while agents and entries stop, and 8 of 8 requests of 2.5 s that may be repeated, are answered at the first send.

--- a/playground/cluster.ts
+++ b/playground/cluster.ts
@@ -82,6 +82,7 @@
 
 export interface EntryStatus {
   revision: number
+  self: { inFlight: number }
   servers: { identity: { incarnation: string, host: string }, load: { status: string }, homes: number }[]
   /** The other entries; `heardAtMs` is null for one without a heartbeat since its connection began. */
   entries: { host: string, heardAtMs: number | null }[]
--- a/src/coordination/call-handler.ts
+++ b/src/coordination/call-handler.ts
@@ -209,7 +209,7 @@
   async function resumeCall (
     request: call.Call, position: streamId.StreamPosition, response: http.ServerResponse, signal: AbortSignal
   ): Promise<outcomes.Refusal | undefined> {
-    const source = await parts.recovery.open(position, signal)
+    const source = await parts.recovery.open(request, position, signal)
     if (source === undefined) {
       return outcomes.refuse('not_found', 410, 'may_have_run', 'last-event-id: the stream is no longer held')
     }
--- a/src/coordination/server-task.ts
+++ b/src/coordination/server-task.ts
@@ -51,6 +51,8 @@
  */
 const MAX_REPORT_AGE_MS = 30_000
 const EXPIRY_PERIOD_MS = 1_000
+/** A stream can be resumed on the host of an agent that has left, for as long as an engine holds it. */
+const DEPARTED_RETENTION_MS = 60_000
 
 export interface ServerTask {
   post (message: ServerMessage): void
@@ -64,6 +66,7 @@
   /** Capacity for requests that this entry sees at the backend servers of a target. */
   capacity (target: serverView.Served): Promise<route.Capacity>
   list (): Promise<KnownServer[]>
+  /** Also finds an agent process that has left not long ago. */
   find (incarnation: string): Promise<serverView.ServerIdentity | undefined>
   findOnHost (host: string): Promise<serverView.ServerIdentity[]>
 }
@@ -72,7 +75,7 @@
   env: environment.Environment, policy: route.RoutePolicy, signal: AbortSignal, onBroken: (error: Error) => void
 ): ServerTask {
   const task = taskModule.startTask<ServerState, ServerMessage, ServerEffect>({
-    initial: { view: serverView.createServerView(), hints: prefixHints.createPrefixHints() },
+    initial: { view: serverView.createServerView(), hints: prefixHints.createPrefixHints(), departed: new Map() },
     transition: (state, message) => ({ state, effects: applyMessage(state, message, policy, env) }),
     perform: effect => effect(),
     signal,
@@ -97,22 +100,32 @@
 interface ServerState {
   view: serverView.ServerView
   hints: prefixHints.PrefixHints
+  /** Agent processes that have left, by incarnation, in the order in which they did. */
+  departed: Map<string, { identity: serverView.ServerIdentity, leftAtMs: number }>
 }
 
 function applyMessage (
-  { view, hints }: ServerState, message: ServerMessage, policy: route.RoutePolicy, env: environment.Environment
+  { view, hints, departed }: ServerState,
+  message: ServerMessage,
+  policy: route.RoutePolicy,
+  env: environment.Environment
 ): ServerEffect[] {
   switch (message.type) {
     case 'reports': {
       const nowMs = env.nowMs()
       for (const { identity, load, reportedAtMs } of message.reports) {
+        const previous = view.servers.get(view.incarnationByAddress.get(identity.address) ?? '')
         serverView.applyReport(view, identity, load, reportedAtMs, nowMs)
+        if (previous !== undefined && !view.servers.has(previous.identity.incarnation)) noteDeparted(previous)
       }
       return []
     }
-    case 'gone':
+    case 'gone': {
+      const record = view.servers.get(message.incarnation)
       serverView.removeServer(view, message.incarnation)
+      if (record !== undefined) noteDeparted(record)
       return []
+    }
     case 'pick': {
       const { query, prefixes } = message
       const first = prefixes[0]
@@ -155,7 +168,7 @@
       return [() => message.reply(servers)]
     }
     case 'find': {
-      const identity = view.servers.get(message.incarnation)?.identity
+      const identity = (view.servers.get(message.incarnation) ?? departed.get(message.incarnation))?.identity
       return [() => message.reply(identity)]
     }
     case 'withdraw':
@@ -171,7 +184,14 @@
       for (const [incarnation, record] of view.servers) {
         if (record.reportedAtMs < oldestMs && record.inFlight === 0) serverView.removeServer(view, incarnation)
       }
+      for (const [incarnation, { leftAtMs }] of departed) {
+        if (leftAtMs < env.nowMs() - DEPARTED_RETENTION_MS) departed.delete(incarnation)
+      }
       return []
     }
   }
+
+  function noteDeparted ({ identity }: serverView.ServerRecord): void {
+    departed.set(identity.incarnation, { identity, leftAtMs: env.nowMs() })
+  }
 }
--- a/src/coordination/stream-recovery.ts
+++ b/src/coordination/stream-recovery.ts
@@ -35,7 +35,7 @@
 
 export interface StreamRecovery {
   /** Opens a stream at a position that a caller gives. */
-  open (position: streamId.StreamPosition, signal: AbortSignal): Promise<StreamSource | undefined>
+  open (request: call.Call, position: streamId.StreamPosition, signal: AbortSignal): Promise<StreamSource | undefined>
   recover (request: call.Call, broken: BrokenStream, signal: AbortSignal): Promise<StreamSource | undefined>
 }
 
@@ -61,9 +61,14 @@
   env: environment.Environment, parts: StreamRecoveryParts
 ): StreamRecovery {
   return {
-    async open (position, signal) {
+    async open (request, position, signal) {
       const server = await parts.servers.find(position.agentIncarnation)
-      return server === undefined ? undefined : openOnHost(server, position, SAME_HOST_WAIT_MS, signal)
+      if (server === undefined) return undefined
+      const resumed = await resume(request, server, position, SAME_HOST_WAIT_MS, signal)
+      if (resumed !== undefined) return resumed
+      // Without another backend server, a caller that starts over is refused.
+      const { servers } = await parts.servers.capacity(request.target)
+      return servers > 0 ? undefined : resume(request, server, position, ONLY_HOST_WAIT_MS, signal)
     },
     async recover (request, broken, signal) {
       const { server, attemptId } = broken.source
