entry: resume streams also when the entry has drained for longer

When two entries stop together and the first one ends, its callers resume their streams at the other one. After 7 s of drain that one answered 503, as for new requests, although it was there for seconds to come, and no other entry took the stream.

A request with Last-Event-ID is now accepted until the entry has to answer what is open.

--- a/playground/__tests__/streams-at-stops.spec.ts
+++ b/playground/__tests__/streams-at-stops.spec.ts
@@ -2,6 +2,7 @@
 import * as vitest from 'vitest'
 import * as caller from '../caller.js'
 import * as cluster from '../cluster.js'
+import * as operator from '../operator.js'
 
 const DRAIN_TIMEOUT_MS = 20_000
 const STEP_MS = 20
@@ -79,6 +80,24 @@
   vitest.expect(ended.map(record => [record.outcome, record.sends])).toEqual(ended.map(() => ['answered', 1]))
 })
 
+// Guards against a stream that no entry takes over when its own ends before another one that stops at the same time.
+vitest.test('streams of an entry that ends are resumed at another one that stops too', async () => {
+  await start()
+  const { callers, records } = startDrafts(4, 600)
+  await waitUntilStarted(callers)
+  const first = await entryInUse()
+  const second = deployment.entries.find(entry => entry !== first)!
+  const others = operator.readStream(second.address, 'support', 'draft-model', 800)
+  await timers.setTimeout(300)
+  for (const { process: entry } of [first, second]) entry.kill('SIGTERM')
+  await timers.setTimeout(7_500)
+  first.process.kill('SIGKILL')
+  const ended = await records
+  vitest.expect(ended.map(record => record.outcome)).toEqual(ended.map(() => 'answered'))
+  vitest.expect(ended.every(record => record.sends > 1)).toBe(true)
+  vitest.expect(await others).toBe(true)
+})
+
 // Guards against a stream that counts as lost while its agent restarts, when its caller goes to another entry.
 vitest.test('streams are resumed at another entry while their agents restart', async () => {
   await start()
--- a/src/coordination/entry-gate.ts
+++ b/src/coordination/entry-gate.ts
@@ -42,8 +42,8 @@
 
   function refusalOf (requestHeaders: http.IncomingHttpHeaders): outcomes.Refusal | undefined {
     // An earlier request with the same key, or the stream to resume, may have run through another entry.
-    const mayHaveRun = requestHeaders[headers.callerHeaders.idempotencyKey] !== undefined ||
-      requestHeaders[headers.callerHeaders.lastEventId] !== undefined
+    const isResumed = requestHeaders[headers.callerHeaders.lastEventId] !== undefined
+    const mayHaveRun = isResumed || requestHeaders[headers.callerHeaders.idempotencyKey] !== undefined
     const outcome = mayHaveRun ? 'may_have_run' : 'not_run'
     if (!parts.guard.mayServe()) {
       const detail = parts.guard.hasCopy()
@@ -53,7 +53,8 @@
     }
     // Only this entry can make the first dispatch for a key that it issued, so forwarded requests are accepted.
     const isForwarded = requestHeaders[headers.agentHeaders.forwarded] !== undefined
-    if (hasGraceEnded() && !isForwarded) return outcomes.refuse('draining', 503, outcome, 'the entry is in graceful shutdown', RETRY_AFTER_MS)
+    // A resumed stream is no new request, and the other entries may stop too.
+    if (hasGraceEnded() && !isForwarded && !isResumed) return outcomes.refuse('draining', 503, outcome, 'the entry is in graceful shutdown', RETRY_AFTER_MS)
     return undefined
   }
 
