streams: give a broken stream up only when nothing can continue it

Two ways in which a stream was cut although it could go on, both without waiting for a place:

- An agent that could not reach its engine answered 404, 'not held', as for a stream that the engine does not know.
The entry then gave the host up at once.
It answers 503 now; the entry continues the stream elsewhere where it may, and else asks the host for up to 10 s.
- When the engine had lost the stream and the other backend servers were full, the one refusal ended it.
They are now asked each 250 ms for up to 10 s.

--- a/playground/__tests__/streams.spec.ts
+++ b/playground/__tests__/streams.spec.ts
@@ -74,6 +74,22 @@
   vitest.expect(await sumOfEngines('continued')).toBe(0)
 })
 
+// Guards against a stream that counts as lost while its engine runs it and can't be reached for a moment.
+vitest.test('stream survives engines that are unreachable for a moment', async () => {
+  const drafts = startDrafts(8, 300)
+  await cluster.waitFor('all drafts have started', 3_000, () => callers.every(one => one.events > 0))
+  for (const { backendProxy } of deployment.backends) {
+    backendProxy!.setFaults({ refuse: true })
+    backendProxy!.resetAll()
+  }
+  await new Promise(resolve => setTimeout(resolve, 2_000))
+  for (const { backendProxy } of deployment.backends) backendProxy!.setFaults({})
+  const records = await drafts
+  expectAllAnswered(records)
+  vitest.expect(records.every(record => record.sends === 1)).toBe(true)
+  vitest.expect(await sumOfEngines('continued')).toBe(0)
+})
+
 // Guards against offsets that a new agent process computes differently.
 vitest.test('stream survives an agent restart', async () => {
   // The drafts outlast the start of the new processes, which takes seconds on a busy machine.
--- a/src/coordination/__tests__/stream-recovery.spec.ts
+++ b/src/coordination/__tests__/stream-recovery.spec.ts
@@ -21,10 +21,22 @@
 vitest.beforeEach(() => { vitest.vi.useFakeTimers() })
 vitest.afterEach(() => { vitest.vi.useRealTimers() })
 
-/** Recovers a stream whose agent answers again after `restartMs`; no other backend server accepts the request. */
+interface Scene {
+  /** The agent answers again after this time, with this status. */
+  restartMs: number
+  status?: number
+  /** Answer of another backend server, which has no place for the stream before `placeAfterMs`. */
+  continued?: Partial<backendClient.BackendAnswer>
+  placeAfterMs?: number
+}
+
 async function recoverWith (
   restartMs: number, status = 200, continued?: Partial<backendClient.BackendAnswer>
-): Promise<{
+): Promise<{ source: streamRecovery.StreamSource | undefined, tookMs: number }> {
+  return await recoverIn({ restartMs, status, ...(continued === undefined ? {} : { continued }) })
+}
+
+async function recoverIn ({ restartMs, status = 200, continued, placeAfterMs = 0 }: Scene): Promise<{
   source: streamRecovery.StreamSource | undefined, tookMs: number
 }> {
   const real = await environment.createEnvironment({ emit: () => {} }, {} as never)
@@ -43,13 +55,15 @@
     dispatcher: {
       run: async () => continued === undefined
         ? outcomes.refuse('no_backend_server', 503, 'may_have_run', 'none')
-        : {
-            kind: 'answer',
-            server,
-            attemptId: 'y',
-            finish: () => {},
-            answer: { kind: 'answer', body: stream.Readable.from(['failed\n\n']), ...continued }
-          }
+        : Date.now() - startedAtMs < placeAfterMs
+          ? outcomes.refuse('overloaded', 503, 'may_have_run', 'full')
+          : {
+              kind: 'answer',
+              server,
+              attemptId: 'y',
+              finish: () => {},
+              answer: { kind: 'answer', body: stream.Readable.from(['failed\n\n']), ...continued }
+            }
     } as dispatcher.Dispatcher
   })
   const recovered = recovery.recover(request, {
@@ -95,6 +109,15 @@
   })
 }
 
+const eventStream = { status: 200, headers: { 'content-type': 'text/event-stream' } }
+
+// Guards against a stream that is cut because the other backend servers are full when its own has failed.
+vitest.test('a stream waits for a place on another backend server when its own host has lost it', async () => {
+  const { source, tookMs } = await recoverIn({ restartMs: 0, status: 404, continued: eventStream, placeAfterMs: 3_000 })
+  vitest.expect(source?.attemptId).toBe('y')
+  vitest.expect(tookMs).toBeLessThan(3_500)
+})
+
 vitest.test('an event stream of another backend server continues the stream', async () => {
   const { source } = await recoverWith(0, 404, { status: 200, headers: { 'content-type': 'text/event-stream' } })
   vitest.expect(source?.attemptId).toBe('y')
--- a/src/coordination/stream-forwarder.ts
+++ b/src/coordination/stream-forwarder.ts
@@ -51,7 +51,8 @@
       if (pipeHeld(attemptId, from, response)) return
       // An earlier process of this agent may have forwarded the stream; the engine still holds it.
       const source = await parts.engine.resume(attemptId, signal)
-      if (source === undefined) return refuse(response, 'not_found', 404, 'the stream is not held')
+      if (source === 'not_held') return refuse(response, 'not_found', 404, 'the stream is not held')
+      if (source === 'unreachable') return refuse(response, 'backend_unreachable', 503, 'the engine may hold the stream')
       if (pipeHeld(attemptId, from, response)) {
         // Another request has resumed the same stream meanwhile.
         source.destroy()
--- a/src/coordination/stream-recovery.ts
+++ b/src/coordination/stream-recovery.ts
@@ -45,6 +45,14 @@
   dispatcher: dispatcher.Dispatcher
 }
 
+interface SoughtStream {
+  server: attemptSender.AgentTarget
+  position: streamId.StreamPosition
+  waitMs: number
+  /** The wait for an engine that its agent can't reach is left to other backend servers. */
+  canContinueElsewhere?: boolean
+}
+
 /** Time for an agent to restart after a crash before the request is continued on another backend server. */
 const SAME_HOST_WAIT_MS = 1_500
 /**
@@ -54,6 +62,8 @@
  */
 const ONLY_HOST_WAIT_MS = 10_000
 const RETRY_PERIOD_MS = 150
+/** Pause before backend servers that are full are asked again to continue a stream. */
+const FULL_RETRY_PERIOD_MS = 250
 /** Longest gap between two chunks of a resumed stream. */
 const RESUME_TIMEOUT_MS = 60_000
 
@@ -64,43 +74,57 @@
     async open (request, position, signal) {
       const server = await parts.servers.find(position.agentIncarnation)
       if (server === undefined) return undefined
-      const resumed = await resume(request, server, position, SAME_HOST_WAIT_MS, signal)
-      if (resumed !== undefined) return resumed
+      const rest = await resume(request, { server, position, waitMs: SAME_HOST_WAIT_MS }, signal)
+      if (typeof rest !== 'string') return rest
       // Without another backend server, a caller that starts over is refused.
       const { servers } = await parts.servers.capacity(request.target)
-      return servers > 0 ? undefined : resume(request, server, position, ONLY_HOST_WAIT_MS, signal)
+      if (rest === 'gone' || servers > 0) return undefined
+      return sourceOf(await resume(request, { server, position, waitMs: ONLY_HOST_WAIT_MS }, signal))
     },
     async recover (request, broken, signal) {
       const { server, attemptId } = broken.source
       const position = { agentIncarnation: server.incarnation, attemptId, offsetBytes: broken.offsetBytes }
-      return await resume(request, server, position, SAME_HOST_WAIT_MS, signal) ??
-        await continueElsewhere(request, broken, signal) ??
-        await resume(request, server, position, ONLY_HOST_WAIT_MS, signal)
+      const continued = continuationOf(request, broken)
+      let rest = await resume(
+        request, { server, position, waitMs: SAME_HOST_WAIT_MS, canContinueElsewhere: continued !== undefined }, signal)
+      const untilMs = Math.min(env.nowMs() + ONLY_HOST_WAIT_MS, request.deadlineAtMs)
+      while (typeof rest === 'string') {
+        const other = continued === undefined ? 'none' : await continueElsewhere(continued, signal)
+        if (typeof other !== 'string') return other
+        const remainingMs = untilMs - env.nowMs()
+        if (other === 'none') {
+          return rest === 'gone' ? undefined : sourceOf(await resume(request, { server, position, waitMs: remainingMs }, signal))
+        }
+        if (signal.aborted || remainingMs <= 0) return undefined
+        if (rest === 'gone') await new Promise(resolve => setTimeout(resolve, FULL_RETRY_PERIOD_MS))
+        else rest = await resume(request, { server, position, waitMs: FULL_RETRY_PERIOD_MS }, signal)
+      }
+      return rest
     }
   }
 
   async function resume (
-    request: call.Call, server: attemptSender.AgentTarget, position: streamId.StreamPosition, waitMs: number,
-    signal: AbortSignal
-  ): Promise<StreamSource | undefined> {
-    const maxWaitMs = Math.min(waitMs, request.deadlineAtMs - env.nowMs())
-    const resumed = await openOnHost(server, position, maxWaitMs, signal)
-    if (resumed !== undefined) {
-      env.log.emit('streamResumed', { requestId: request.requestId, offsetBytes: position.offsetBytes })
+    request: call.Call, sought: SoughtStream, signal: AbortSignal
+  ): Promise<StreamSource | 'gone' | 'unreachable'> {
+    const waitMs = Math.min(sought.waitMs, request.deadlineAtMs - env.nowMs())
+    const resumed = await openOnHost({ ...sought, waitMs }, signal)
+    if (typeof resumed !== 'string') {
+      env.log.emit('streamResumed', { requestId: request.requestId, offsetBytes: sought.position.offsetBytes })
     }
     return resumed
   }
 
   async function openOnHost (
-    server: attemptSender.AgentTarget, position: streamId.StreamPosition, waitMs: number, signal: AbortSignal
-  ): Promise<StreamSource | undefined> {
+    { server, position, waitMs, canContinueElsewhere = false }: SoughtStream, signal: AbortSignal
+  ): Promise<StreamSource | 'gone' | 'unreachable'> {
     const startedAtMs = env.nowMs()
     while (!signal.aborted) {
       // The same host may have a new agent process at another address.
       for (const candidate of [server, ...await parts.servers.findOnHost(server.host)]) {
         const answer = await requestRest(candidate, position, signal)
-        if (answer === 'gone') return undefined
-        if (answer !== 'unreachable') {
+        if (answer === 'gone') return 'gone'
+        if (answer === 'engine_unreachable' && canContinueElsewhere) return 'unreachable'
+        if (typeof answer !== 'string') {
           return {
             server: candidate,
             attemptId: position.attemptId,
@@ -111,15 +135,15 @@
           }
         }
       }
-      if (env.nowMs() - startedAtMs > waitMs) return undefined
+      if (env.nowMs() - startedAtMs > waitMs) break
       await new Promise(resolve => setTimeout(resolve, RETRY_PERIOD_MS))
     }
-    return undefined
+    return 'unreachable'
   }
 
   async function requestRest (
     server: attemptSender.AgentTarget, position: streamId.StreamPosition, signal: AbortSignal
-  ): Promise<backendClient.BackendAnswer | 'gone' | 'unreachable'> {
+  ): Promise<backendClient.BackendAnswer | 'gone' | 'unreachable' | 'engine_unreachable'> {
     const result = await parts.client.request({
       address: server.address,
       method: 'GET',
@@ -132,27 +156,36 @@
     if (result.kind !== 'answer') return 'unreachable'
     if (result.status === 200) return result
     result.body.resume()
-    return 'gone'
+    return result.status === 503 ? 'engine_unreachable' : 'gone'
   }
 
-  async function continueElsewhere (
-    request: call.Call, broken: BrokenStream, signal: AbortSignal
-  ): Promise<StreamSource | undefined> {
-    if (!request.isRepeatable || broken.relayed === undefined) return undefined
-    const body = chat.continueRequest(request.body, chat.readRelayedText(broken.relayed))
-    if (body === undefined) return undefined
-    const dispatched = await parts.dispatcher.run({ ...request, body }, signal, 'may_have_run')
-    if (dispatched.kind === 'refused') return undefined
+  /** @returns `full` when backend servers could continue the stream that have no place for it at present. */
+  async function continueElsewhere (request: call.Call, signal: AbortSignal): Promise<StreamSource | 'full' | 'none'> {
+    const dispatched = await parts.dispatcher.run(request, signal, 'may_have_run')
+    if (dispatched.kind === 'refused') {
+      return dispatched.reason === 'overloaded' || dispatched.reason === 'draining' ? 'full' : 'none'
+    }
     if (!isEventStream(dispatched.answer)) {
       dispatched.answer.body.resume()
       dispatched.finish('failed')
-      return undefined
+      return 'none'
     }
     env.log.emit('streamContinued', { requestId: request.requestId, agentAddress: dispatched.server.address })
     return { ...dispatched, offsetBytes: 0, isContinuation: true }
   }
 }
 
+/** The request for the rest of a stream; undefined when no other backend server may continue it. */
+function continuationOf (request: call.Call, broken: BrokenStream): call.Call | undefined {
+  if (!request.isRepeatable || broken.relayed === undefined) return undefined
+  const body = chat.continueRequest(request.body, chat.readRelayedText(broken.relayed))
+  return body === undefined ? undefined : { ...request, body }
+}
+
+function sourceOf (resumed: StreamSource | string): StreamSource | undefined {
+  return typeof resumed === 'string' ? undefined : resumed
+}
+
 function isEventStream (answer: backendClient.BackendAnswer): boolean {
   const contentType = headers.headerValue(answer.headers, 'content-type') ?? ''
   return answer.status === 200 && contentType.startsWith('text/event-stream')
--- a/src/protocol/platform.ts
+++ b/src/protocol/platform.ts
@@ -128,8 +128,8 @@
 
 /** Streams of a model engine, identified by the request's `x-request-id` header. */
 export interface Engine {
-  /** The whole stream from its first event, even while it is still growing; undefined when the engine has none. */
-  resume (requestId: string, signal: AbortSignal): Promise<stream.Readable | undefined>
+  /** The whole stream from its first event, even while it is still growing. */
+  resume (requestId: string, signal: AbortSignal): Promise<stream.Readable | 'not_held' | 'unreachable'>
   /** Cancels a request; has no effect on one that has ended. */
   cancel (requestId: string, signal: AbortSignal): Promise<void>
 }
--- a/src/transport/__tests__/cut-answers.spec.ts
+++ b/src/transport/__tests__/cut-answers.spec.ts
@@ -63,7 +63,7 @@
       const engine = new engineClient.HttpEngine(backendClient.createBackendClient(signal), address)
       return async () => {
         const body = await engine.resume('id', signal)
-        return body === undefined ? undefined : await readAll(body).catch(() => undefined)
+        return typeof body === 'string' ? undefined : await readAll(body).catch(() => undefined)
       }
     }
   },
--- a/src/transport/engine-client.ts
+++ b/src/transport/engine-client.ts
@@ -21,7 +21,7 @@
     this.#address = address
   }
 
-  async resume (requestId: string, signal: AbortSignal): Promise<stream.Readable | undefined> {
+  async resume (requestId: string, signal: AbortSignal): Promise<stream.Readable | 'not_held' | 'unreachable'> {
     const result = await this.#client.request({
       address: this.#address,
       method: 'GET',
@@ -31,10 +31,10 @@
       timeoutMs: EVENT_TIMEOUT_MS,
       signal
     })
-    if (result.kind !== 'answer') return undefined
+    if (result.kind !== 'answer') return 'unreachable'
     if (result.status === 200) return result.body
     result.body.resume()
-    return undefined
+    return 'not_held'
   }
 
   async cancel (requestId: string, signal: AbortSignal): Promise<void> {
