relay: count only recoveries in a row that bring no event

A stream whose connection broke more than five times was cut, although it went on after each break. Recoveries count now until the next event.

Failed before: 'a stream that breaks off often and goes on each time is complete' (cut after six events, now ten of ten).

--- a/src/coordination/__tests__/relay.spec.ts
+++ b/src/coordination/__tests__/relay.spec.ts
@@ -66,6 +66,13 @@
   vitest.expect(await relayBroken(sourceOf([], false))).toEqual({ body: FIRST, isComplete: true })
 })
 
+// Guards against a stream that is cut though it goes on after each break.
+vitest.test('a stream that breaks off often and goes on each time is complete', async () => {
+  const sources = Array.from({ length: 8 }, () => sourceOf([FIRST, new Error('reset')], false))
+  const { body, isComplete } = await relayAll(sourceOf([FIRST, new Error('reset')], false), [...sources, sourceOf([FIRST], false)])
+  vitest.expect([body, isComplete]).toEqual([FIRST.repeat(10), true])
+})
+
 // Guards against a part of a large answer that passes as the whole.
 vitest.test('a large answer that breaks off after its head was sent is not complete', async () => {
   const piece = 'x'.repeat(600_000)
--- a/src/coordination/relay.ts
+++ b/src/coordination/relay.ts
@@ -29,6 +29,7 @@
  * another backend server.
  */
 const MAX_BUFFERED_BYTES = 1024 * 1024
+/** Recoveries in a row of which none brought an event. */
 const MAX_RECOVERIES = 5
 /** Relayed events are kept up to this size, to continue the answer on another backend server. */
 const MAX_KEPT_BYTES = 256 * 1024
@@ -93,7 +94,7 @@
   const relayed: Buffer[] | undefined = request.resumeFrom === undefined ? [] : undefined
   let keptBytes = 0
   let source: streamRecovery.StreamSource | undefined = first
-  for (let recoveries = 0; source !== undefined && recoveries <= MAX_RECOVERIES; recoveries++) {
+  for (let recoveries = 0; source !== undefined && recoveries <= MAX_RECOVERIES;) {
     const current: streamRecovery.StreamSource = source
     let offsetBytes = current.offsetBytes
     const state = await relayEvents(current.answer, response, events => {
@@ -109,6 +110,7 @@
       response.end()
       return { kind: 'relayed' }
     }
+    recoveries = offsetBytes > current.offsetBytes ? 0 : recoveries + 1
     source = await recover({
       source: current, offsetBytes, relayed: keptBytes <= MAX_KEPT_BYTES ? relayed : undefined
     })
