agent: keep the rest of a stream while its caller may fetch it

An agent in a planned stop ended as soon as its engine had finished and no response was open. A caller whose entry had ended at that time, and who resumed its stream at another entry, got 410.

Failed before: 'a stopping agent waits for callers that have lost their entry' (410, now 200 with the whole rest).

--- a/playground/__tests__/streams-at-stops.spec.ts
+++ b/playground/__tests__/streams-at-stops.spec.ts
@@ -113,3 +113,34 @@
   vitest.expect(ended.map(record => record.outcome)).toEqual(ended.map(() => 'answered'))
   vitest.expect(ended.every(record => record.sends > 1)).toBe(true)
 })
+
+// Guards against an agent that ends with the rest of a stream whose caller is on its way to another entry.
+vitest.test('a stopping agent waits for callers that have lost their entry', async () => {
+  await start({ models: [{ name: 'draft-model', servers: 1, stepMs: STEP_MS }] })
+  const [first, second] = deployment.entries as [cluster.EntryNode, cluster.EntryNode]
+  const leaving = new AbortController()
+  const begun = await openDraft(first, {}, leaving.signal)
+  const { value } = await begun.body!.getReader().read()
+  leaving.abort()
+  const backend = deployment.backends.find(node => node.kind === 'model')!
+  await cluster.waitFor('the engine ends the stream', 5_000, async () =>
+    (await (await fetch(`http://${backend.serverAddress}/health`)).json() as { running: number }).running === 0)
+  backend.agent.kill('SIGTERM')
+  await timers.setTimeout(500)
+  const lastEventId = /^id: (.*)$/m.exec(Buffer.from(value!).toString())![1]!
+  const rest = await openDraft(second, { 'last-event-id': lastEventId })
+  vitest.expect([rest.status, (await rest.text()).endsWith('data: [DONE]\n\n')]).toEqual([200, true])
+  vitest.expect(await backend.agent.exited).toBe(0)
+})
+
+async function openDraft (
+  entry: cluster.EntryNode, headers: Record<string, string>, signal: AbortSignal | null = null
+): Promise<Response> {
+  const messages = [{ role: 'user', content: 'hello' }]
+  return await fetch(`http://${entry.address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${cluster.teamKey('support')}`, ...headers },
+    body: JSON.stringify({ model: 'draft-model', messages, stream: true, max_tokens: 50 }),
+    signal
+  })
+}
--- a/src/coordination/agent.ts
+++ b/src/coordination/agent.ts
@@ -160,7 +160,7 @@
   async function drainUntilEmpty (): Promise<void> {
     drain.set('terminated', true)
     // An answer that the backend server has completed may still be in transit to the entry.
-    const isBusy = (): boolean => gate.load().running > 0 || openResponses > 0
+    const isBusy = (): boolean => gate.load().running > 0 || openResponses > 0 || streams.isAwaited()
     while (!signal.aborted && isBusy()) {
       await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
     }
--- a/src/coordination/stream-forwarder.ts
+++ b/src/coordination/stream-forwarder.ts
@@ -20,6 +20,8 @@
   forwardHeld (attemptId: string, response: http.ServerResponse, extra: http.OutgoingHttpHeaders): boolean
   /** Answers with the rest of a stream from a byte offset, from memory or from the engine. */
   resume (attemptId: string, request: http.IncomingMessage, response: http.ServerResponse): Promise<void>
+  /** Whether the rest of a stream may still be fetched. */
+  isAwaited (): boolean
 }
 
 export interface StreamForwarderParts {
@@ -43,6 +45,7 @@
       return ended
     },
     forwardHeld: (attemptId, response, extra) => pipeHeld(attemptId, 0, response, extra),
+    isAwaited: () => store.isAwaited(),
     async resume (attemptId, request, response) {
       const from = Number(new URL(request.url ?? '/', 'http://agent').searchParams.get('from') ?? 0)
       if (!Number.isSafeInteger(from) || from < 0) {
--- a/src/coordination/stream-store.ts
+++ b/src/coordination/stream-store.ts
@@ -15,6 +15,8 @@
   /** When the last reader left, or the source ended. */
   idleSinceMs: number
   readers: number
+  /** Whether a reader has received the last event. */
+  isRead: boolean
   source: stream.Readable
   waiters: Set<() => void>
 }
@@ -28,6 +30,8 @@
   capture (attemptId: string, source: stream.Readable): Promise<'complete' | 'broken'>
   /** Reads a held stream from an offset on; undefined when no data after the offset is held or expected. */
   open (attemptId: string, fromBytes: number): stream.Readable | undefined
+  /** Whether the rest of a stream may still be fetched: its reader left before its end, and not long ago. */
+  isAwaited (): boolean
 }
 
 export interface StreamStoreParts {
@@ -47,11 +51,16 @@
 ): StreamStore {
   const streams = new Map<string, HeldStream>()
   environment.every(SWEEP_PERIOD_MS, signal, sweep)
-  return { capture, open }
+  return {
+    capture,
+    open,
+    isAwaited: () => [...streams.values()].some(held =>
+      !held.isRead && held.state !== 'broken' && env.nowMs() - held.idleSinceMs <= ABANDONED_GRACE_MS)
+  }
 
   async function capture (attemptId: string, source: stream.Readable): Promise<'complete' | 'broken'> {
     const held: HeldStream = {
-      chunks: [], sizeBytes: 0, state: 'open', idleSinceMs: env.nowMs(), readers: 0, source, waiters: new Set()
+      chunks: [], sizeBytes: 0, state: 'open', idleSinceMs: env.nowMs(), readers: 0, isRead: false, source, waiters: new Set()
     }
     streams.set(attemptId, held)
     const splitter = new wholeEvents.WholeEvents()
@@ -98,7 +107,10 @@
             skipBytes = 0
           }
         }
-        if (held.state === 'complete') return
+        if (held.state === 'complete') {
+          held.isRead = true
+          return
+        }
         if (held.state === 'broken') throw new Error('the backend server\'s stream broke off')
         await new Promise<void>(resolve => held.waiters.add(resolve))
       }
