entry: await a stream that runs without an answer yet when its agent ends

When agents ended before the entry had the head of a stream that their engines ran, the entry refused the request at once (502 or 503, may_have_run), since no other backend server was there, and the engine's work was lost. A stream with an event waits for its host in that case.

The dispatcher's refusal now names the attempt without an answer, and a stream that may be repeated is sought on the attempt's host as a resumed one is. Other backend servers still come first.

--- a/playground/__tests__/streams.spec.ts
+++ b/playground/__tests__/streams.spec.ts
@@ -123,6 +123,23 @@
   expectAllAnswered(await drafts)
 })
 
+// Guards against a stream that is refused although an engine runs it, because its agents end before the first event.
+vitest.test('streams without an event yet complete when agents are down for longer than a stream waits for its host', async () => {
+  for (const { agentProxy } of deployment.backends) agentProxy!.setFaults({ frozen: ['toClient'] })
+  const drafts = startDrafts(8)
+  await waitUntilRunning(8)
+  await Promise.all(deployment.backends.map(async backend => {
+    backend.agent.kill('SIGKILL')
+    await backend.agent.exited
+    backend.agentProxy!.resetAll()
+    backend.agentProxy!.setFaults({})
+    await new Promise(resolve => setTimeout(resolve, 2_500))
+    await deployment.restartAgent(backend)
+  }))
+  expectAllAnswered(await drafts)
+  vitest.expect(await sumOfEngines('continued')).toBe(0)
+})
+
 // Guards against an answer that ends early when its engine dies.
 vitest.test('stream continues on another backend server when its own dies', async () => {
   const drafts = startDrafts(8)
--- a/src/coordination/attempt-sender.ts
+++ b/src/coordination/attempt-sender.ts
@@ -24,13 +24,18 @@
   finish: (result: serverTask.AttemptResult) => void
 }
 
+export interface FailedAttempt extends outcomes.Refusal {
+  /** The attempt, if it got no answer and a backend server may run it. */
+  unanswered?: claims.AttemptRef
+}
+
 export interface Reservation {
   server: AgentTarget
   ref: claims.AttemptRef
   /** Releases an attempt that was not sent. */
   abandon: () => void
   /** Sends the attempt; called at most once. @param isAlone whether it must run alone on the backend server. */
-  send: (request: call.Call, signal: AbortSignal, isAlone?: boolean) => Promise<DispatchedAnswer | outcomes.Refusal>
+  send: (request: call.Call, signal: AbortSignal, isAlone?: boolean) => Promise<DispatchedAnswer | FailedAttempt>
 }
 
 export type ResolveResult =
@@ -91,7 +96,7 @@
     sequence: number,
     signal: AbortSignal,
     isAlone: boolean
-  ): Promise<DispatchedAnswer | outcomes.Refusal> {
+  ): Promise<DispatchedAnswer | FailedAttempt> {
     if (env.nowMs() >= request.deadlineAtMs) {
       open.delete(sequence)
       return outcomes.refuse('deadline_exceeded', 504, 'not_run', 'the deadline has passed')
@@ -157,7 +162,7 @@
     ref: claims.AttemptRef,
     detail: string,
     finish: (result: serverTask.AttemptResult, isSettled?: boolean) => void
-  ): Promise<DispatchedAnswer | outcomes.Refusal> {
+  ): Promise<DispatchedAnswer | FailedAttempt> {
     const cancelled = resolve(ref, 0, 0, AbortSignal.timeout(CANCEL_TIMEOUT_MS))
     // A repeatable request is retried without waiting for the cancel: the outcome may_have_run covers this attempt.
     const resolved = request.isRepeatable ? { kind: 'unknown' as const } : await cancelled
@@ -167,7 +172,9 @@
     }
     const isTombstoned = resolved.kind === 'tombstoned'
     finish('failed', isTombstoned)
-    return outcomes.refuse('backend_unreachable', 502, isTombstoned ? 'not_run' : 'may_have_run', detail, RETRY_AFTER_MS)
+    const refusal = outcomes.refuse(
+      'backend_unreachable', 502, isTombstoned ? 'not_run' : 'may_have_run', detail, RETRY_AFTER_MS)
+    return isTombstoned ? refusal : { ...refusal, unanswered: ref }
   }
 
   async function resolve (
--- a/src/coordination/call-handler.ts
+++ b/src/coordination/call-handler.ts
@@ -19,6 +19,7 @@
 import * as headers from '../protocol/headers.js'
 import * as problem from '../protocol/problem.js'
 import type * as streamId from '../protocol/stream-id.js'
+import type * as claims from '../state/claim.js'
 import type * as configuration from '../state/configuration.js'
 import * as issuedKeys from '../state/issued-keys.js'
 import * as outcomes from '../state/outcome.js'
@@ -146,22 +147,24 @@
     for (let brokenAnswers = 0; ; brokenAnswers++) {
       const endMeasurement = parts.window.measure(request)
       const dispatched = await dispatch(request, raw, signal, earlier)
-      if (dispatched.kind === 'refused') {
+      const source = dispatched.kind === 'refused'
+        ? await openUnanswered(request, dispatched.unanswered, signal)
+        : { ...dispatched, offsetBytes: 0, isContinuation: false }
+      if (source === undefined) {
         endMeasurement(false)
-        return dispatched
+        return dispatched as outcomes.Refusal
       }
-      const source = { ...dispatched, offsetBytes: 0, isContinuation: false }
       const relayed = await relay.relayAnswer(env, request, source, response,
         broken => parts.recovery.recover(request, broken, signal))
       endMeasurement(relayed.kind === 'relayed')
       env.log.emit('requestCompleted', {
         requestId: request.requestId,
-        agentAddress: dispatched.server.address,
-        attemptId: dispatched.attemptId,
+        agentAddress: source.server.address,
+        attemptId: source.attemptId,
         result: relayed.kind
       })
       if (relayed.kind !== 'broken_unsent') return undefined
-      if (!request.isRepeatable) return replayBroken(request, dispatched, relayed.refusal, response, signal)
+      if (!request.isRepeatable) return replayBroken(request, source, relayed.refusal, response, signal)
       if (brokenAnswers >= MAX_BROKEN_ANSWERS) return relayed.refusal
       earlier = 'may_have_run'
     }
@@ -188,15 +191,22 @@
     return parts.keyedDispatcher.run(request, location.claimKey, parts.issuer.claims, signal)
   }
 
+  /** A stream without an answer yet may run on, and its host return, when no other backend server takes the request. */
+  async function openUnanswered (
+    request: call.Call, attempt: claims.AttemptRef | undefined, signal: AbortSignal
+  ): Promise<streamRecovery.StreamSource | undefined> {
+    if (attempt === undefined || !request.isStreaming || !request.isRepeatable) return undefined
+    return parts.recovery.open(request, { ...attempt, offsetBytes: 0 }, signal)
+  }
+
   /** Asks the agent for the recorded result of an answer that broke before the caller received any of it. */
   async function replayBroken (
     request: call.Call,
-    dispatched: attemptSender.DispatchedAnswer,
+    { server, attemptId }: streamRecovery.StreamSource,
     refusal: outcomes.Refusal,
     response: http.ServerResponse,
     signal: AbortSignal
   ): Promise<outcomes.Refusal | undefined> {
-    const { server, attemptId } = dispatched
     const ref = { attemptId, agentIncarnation: server.incarnation, agentAddress: server.address }
     const resolved = await parts.sender.resolve(ref, 0, REPLAY_WAIT_MS, signal)
     if (resolved.kind !== 'result') return refusal
--- a/src/coordination/dispatcher.ts
+++ b/src/coordination/dispatcher.ts
@@ -11,7 +11,8 @@
 import * as outcomes from '../state/outcome.js'
 import type * as route from '../state/route.js'
 
-export type DispatchResult = attemptSender.DispatchedAnswer | outcomes.Refusal
+/** A refusal names the last attempt that a backend server may still run. */
+export type DispatchResult = attemptSender.DispatchedAnswer | attemptSender.FailedAttempt
 
 export interface Dispatcher {
   /** @param earlier `may_have_run` when an earlier run of the same request cannot be excluded. */
@@ -34,7 +35,7 @@
     request: call.Call, signal: AbortSignal, earlier: outcomes.Outcome = 'not_run'
   ): Promise<DispatchResult> {
     const excluded = new Set<string>()
-    let last = outcomes.refuse('no_backend_server', 503, earlier, 'no backend server can take the request', RETRY_AFTER_MS)
+    let last: attemptSender.FailedAttempt = outcomes.refuse('no_backend_server', 503, earlier, 'no backend server can take the request', RETRY_AFTER_MS)
     for (let tries = 0; tries < MAX_ATTEMPTS; tries++) {
       if (env.nowMs() >= request.deadlineAtMs) {
         return outcomes.refuse('deadline_exceeded', 504, last.outcome, 'the deadline has passed')
@@ -56,7 +57,7 @@
         requestId: request.requestId, agentAddress: server.address, reason: result.reason, outcome: result.outcome
       })
       // Once an attempt may have run, the outcome is `may_have_run`, whatever the later attempts return.
-      last = last.outcome === 'may_have_run' ? { ...result, outcome: 'may_have_run' } : result
+      last = withUnanswered(last.outcome === 'may_have_run' ? { ...result, outcome: 'may_have_run' } : result, last)
       // A request that may have run is retried only if it is repeatable.
       if (last.outcome === 'may_have_run' && !request.isRepeatable) return last
       if (signal.aborted) return last
@@ -66,11 +67,18 @@
 }
 
 function refusalWithoutServer (
-  request: call.Call, choice: route.RouteChoice & { kind: 'none' }, last: outcomes.Refusal
-): outcomes.Refusal {
+  request: call.Call, choice: route.RouteChoice & { kind: 'none' }, last: attemptSender.FailedAttempt
+): attemptSender.FailedAttempt {
   if (choice.reason === 'unknown_target') {
-    return outcomes.refuse('no_backend_server', 503, last.outcome,
-      `no backend server offers ${request.target.kind} service ${request.target.name}`, RETRY_AFTER_MS)
+    return withUnanswered(outcomes.refuse('no_backend_server', 503, last.outcome,
+      `no backend server offers ${request.target.kind} service ${request.target.name}`, RETRY_AFTER_MS), last)
   }
   return last
 }
+
+/** Keeps the unanswered attempt of an earlier failure. */
+function withUnanswered (
+  failed: attemptSender.FailedAttempt, { unanswered }: attemptSender.FailedAttempt
+): attemptSender.FailedAttempt {
+  return failed.unanswered !== undefined || unanswered === undefined ? failed : { ...failed, unanswered }
+}
