--- a/playground/__tests__/once-failures.spec.ts
+++ b/playground/__tests__/once-failures.spec.ts
@@ -124,8 +124,12 @@
   vitest.expect(answer.outcome).toBe('may_have_run')
   vitest.expect(answer.durationMs).toBeLessThan(6_000)
   deployment.entries[0]!.process.kill('SIGCONT')
-  await cluster.waitFor('the issuer is reachable again', 10_000, async () =>
-    (await keyedCalls.issueVoucher(entry(1), { key: key! })).outcome === 'completed')
+  const retries: string[] = []
+  await cluster.waitFor('the issuer is reachable again', 10_000, async () => {
+    const { outcome, reason, durationMs } = await keyedCalls.issueVoucher(entry(1), { key: key! })
+    retries.push(`${outcome} ${reason} in ${Math.round(durationMs)} ms`)
+    return outcome === 'completed'
+  }).catch((error: unknown) => { throw new Error(`the issuer is not reachable: ${retries.join(', ')}`, { cause: error }) })
   vitest.expect(await runsOfKey(key!)).toBe(1)
 })
 
