--- a/src/coordination/__tests__/relay.spec.ts
+++ b/src/coordination/__tests__/relay.spec.ts
@@ -66,6 +66,13 @@
   vitest.expect(await relayBroken(sourceOf([], false))).toEqual({ body: FIRST, isComplete: true })
 })
 
+// Guards against a stream that is cut though it goes on after each break.
+vitest.test('a stream that breaks off often and goes on each time is complete', async () => {
+  const sources = Array.from({ length: 8 }, () => sourceOf([FIRST, new Error('reset')], false))
+  const { body, isComplete } = await relayAll(sourceOf([FIRST, new Error('reset')], false), [...sources, sourceOf([FIRST], false)])
+  vitest.expect([body, isComplete]).toEqual([FIRST.repeat(10), true])
+})
+
 // Guards against a part of a large answer that passes as the whole.
 vitest.test('a large answer that breaks off after its head was sent is not complete', async () => {
   const piece = 'x'.repeat(600_000)
@@ -75,3 +82,13 @@
   vitest.expect(body.length).toBeGreaterThan(0)
   vitest.expect(isComplete).toBe(false)
 })
+
+// Guards against an event in many small chunks that keeps the process busy for a time that grows with its square.
+vitest.test('a large event in small chunks is relayed in time linear in its size', async () => {
+  const text = 'x'.repeat(128)
+  const before = process.cpuUsage()
+  const { body, isComplete } = await relayAll(sourceOf([...Array<string>(16_384).fill(text), '\n', '\n'], false), [])
+  const used = process.cpuUsage(before)
+  vitest.expect([body.length, isComplete]).toEqual([16_384 * 128 + 2, true])
+  vitest.expect((used.user + used.system) / 1_000).toBeLessThan(1_500)
+})
--- a/src/coordination/call-handler.ts
+++ b/src/coordination/call-handler.ts
@@ -6,6 +6,7 @@
 import type * as http from 'node:http'
 import type * as admissionGate from './admission-gate.js'
 import type * as attemptSender from './attempt-sender.js'
+import type * as callWindow from './call-window.js'
 import * as claimStore from './claim-store.js'
 import type * as configurationTask from './configuration-task.js'
 import type * as dispatcher from './dispatcher.js'
@@ -18,6 +19,7 @@
 import * as headers from '../protocol/headers.js'
 import * as problem from '../protocol/problem.js'
 import type * as streamId from '../protocol/stream-id.js'
+import type * as claims from '../state/claim.js'
 import type * as configuration from '../state/configuration.js'
 import * as issuedKeys from '../state/issued-keys.js'
 import * as outcomes from '../state/outcome.js'
@@ -33,6 +35,7 @@
   claims: claimStore.ClaimStore
   issuer: keyIssuer.KeyIssuer
   recovery: streamRecovery.StreamRecovery
+  window: callWindow.CallWindow
 }
 
 export interface CallHandler {
@@ -81,6 +84,8 @@
       requestId, method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, body: body.body
     }, team, env.nowMs())
     if (parsed.kind === 'refused') return fail(parsed)
+    const late = parts.window.refusalOf(parsed.call)
+    if (late !== undefined) return fail(late)
     const callerDisconnected = new AbortController()
     response.once('close', () => {
       open.delete(end)
@@ -123,10 +128,12 @@
     const admitted = await parts.admission.admit(request, signal)
     if (admitted.kind === 'refused') {
       // An earlier request with the key may have run, and the claim has not been read.
-      const isUnknown = request.idempotencyKey !== undefined && !request.isRepeatable
-      return isUnknown ? { ...admitted, outcome: 'may_have_run' } : admitted
+      return call.mayHaveRunBefore(request) ? { ...admitted, outcome: 'may_have_run' } : admitted
     }
     try {
+      // The call may have waited in the queue.
+      const late = parts.window.refusalOf(request)
+      if (late !== undefined) return late
       return await answerCall(request, raw, response, signal)
     } finally {
       admitted.release()
@@ -138,19 +145,26 @@
   ): Promise<outcomes.Refusal | undefined> {
     let earlier: outcomes.Outcome = 'not_run'
     for (let brokenAnswers = 0; ; brokenAnswers++) {
+      const endMeasurement = parts.window.measure(request)
       const dispatched = await dispatch(request, raw, signal, earlier)
-      if (dispatched.kind === 'refused') return dispatched
-      const source = { ...dispatched, offsetBytes: 0, isContinuation: false }
+      const source = dispatched.kind === 'refused'
+        ? await openUnanswered(request, dispatched.unanswered, signal)
+        : { ...dispatched, offsetBytes: 0, isContinuation: false }
+      if (source === undefined) {
+        endMeasurement(false)
+        return dispatched as outcomes.Refusal
+      }
       const relayed = await relay.relayAnswer(env, request, source, response,
         broken => parts.recovery.recover(request, broken, signal))
+      endMeasurement(relayed.kind === 'relayed')
       env.log.emit('requestCompleted', {
         requestId: request.requestId,
-        agentAddress: dispatched.server.address,
-        attemptId: dispatched.attemptId,
+        agentAddress: source.server.address,
+        attemptId: source.attemptId,
         result: relayed.kind
       })
       if (relayed.kind !== 'broken_unsent') return undefined
-      if (!request.isRepeatable) return replayBroken(request, dispatched, relayed.refusal, response, signal)
+      if (!request.isRepeatable) return replayBroken(request, source, relayed.refusal, response, signal)
       if (brokenAnswers >= MAX_BROKEN_ANSWERS) return relayed.refusal
       earlier = 'may_have_run'
     }
@@ -177,15 +191,22 @@
     return parts.keyedDispatcher.run(request, location.claimKey, parts.issuer.claims, signal)
   }
 
+  /** A stream without an answer yet may run on, and its host return, when no other backend server takes the request. */
+  async function openUnanswered (
+    request: call.Call, attempt: claims.AttemptRef | undefined, signal: AbortSignal
+  ): Promise<streamRecovery.StreamSource | undefined> {
+    if (attempt === undefined || !request.isStreaming || !request.isRepeatable) return undefined
+    return parts.recovery.open(request, { ...attempt, offsetBytes: 0 }, signal)
+  }
+
   /** Asks the agent for the recorded result of an answer that broke before the caller received any of it. */
   async function replayBroken (
     request: call.Call,
-    dispatched: attemptSender.DispatchedAnswer,
+    { server, attemptId }: streamRecovery.StreamSource,
     refusal: outcomes.Refusal,
     response: http.ServerResponse,
     signal: AbortSignal
   ): Promise<outcomes.Refusal | undefined> {
-    const { server, attemptId } = dispatched
     const ref = { attemptId, agentIncarnation: server.incarnation, agentAddress: server.address }
     const resolved = await parts.sender.resolve(ref, 0, REPLAY_WAIT_MS, signal)
     if (resolved.kind !== 'result') return refusal
@@ -198,7 +219,7 @@
   async function resumeCall (
     request: call.Call, position: streamId.StreamPosition, response: http.ServerResponse, signal: AbortSignal
   ): Promise<outcomes.Refusal | undefined> {
-    const source = await parts.recovery.open(position, signal)
+    const source = await parts.recovery.open(request, position, signal)
     if (source === undefined) {
       return outcomes.refuse('not_found', 410, 'may_have_run', 'last-event-id: the stream is no longer held')
     }
--- a/src/coordination/relay.ts
+++ b/src/coordination/relay.ts
@@ -8,6 +8,7 @@
 import type * as streamRecovery from './stream-recovery.js'
 import type * as call from '../protocol/call.js'
 import * as headers from '../protocol/headers.js'
+import * as wholeEvents from '../protocol/whole-events.js'
 import * as outcomes from '../state/outcome.js'
 import type * as backendClient from '../transport/backend-client.js'
 
@@ -28,10 +29,10 @@
  * another backend server.
  */
 const MAX_BUFFERED_BYTES = 1024 * 1024
+/** Recoveries in a row of which none brought an event. */
 const MAX_RECOVERIES = 5
 /** Relayed events are kept up to this size, to continue the answer on another backend server. */
 const MAX_KEPT_BYTES = 256 * 1024
-const EVENT_END = Buffer.from('\n\n')
 
 export async function relayAnswer (
   env: environment.Environment,
@@ -93,7 +94,7 @@
   const relayed: Buffer[] | undefined = request.resumeFrom === undefined ? [] : undefined
   let keptBytes = 0
   let source: streamRecovery.StreamSource | undefined = first
-  for (let recoveries = 0; source !== undefined && recoveries <= MAX_RECOVERIES; recoveries++) {
+  for (let recoveries = 0; source !== undefined && recoveries <= MAX_RECOVERIES;) {
     const current: streamRecovery.StreamSource = source
     let offsetBytes = current.offsetBytes
     const state = await relayEvents(current.answer, response, events => {
@@ -109,6 +110,7 @@
       response.end()
       return { kind: 'relayed' }
     }
+    recoveries = offsetBytes > current.offsetBytes ? 0 : recoveries + 1
     source = await recover({
       source: current, offsetBytes, relayed: keptBytes <= MAX_KEPT_BYTES ? relayed : undefined
     })
@@ -123,19 +125,17 @@
 async function relayEvents (
   answer: backendClient.BackendAnswer, response: http.ServerResponse, onEvents: (events: Buffer) => void
 ): Promise<'complete' | 'broken' | 'caller_gone'> {
-  let pending: Buffer = Buffer.alloc(0)
+  const splitter = new wholeEvents.WholeEvents()
   try {
     for await (const chunk of answer.body as AsyncIterable<Buffer>) {
       if (response.destroyed) return 'caller_gone'
-      const data = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
-      const end = data.lastIndexOf(EVENT_END)
-      pending = end < 0 ? data : data.subarray(end + EVENT_END.length)
-      if (end < 0) continue
-      const events = data.subarray(0, end + EVENT_END.length)
+      const whole = splitter.push(chunk)
+      if (whole.length === 0) continue
+      const events = whole.length === 1 ? whole[0]! : Buffer.concat(whole)
       onEvents(events)
       if (!response.write(events)) await waitForDrainOrClose(response)
     }
-    return pending.length === 0 ? 'complete' : 'broken'
+    return splitter.hasPartialEvent ? 'broken' : 'complete'
   } catch {
     return response.destroyed ? 'caller_gone' : 'broken'
   }
--- a/src/coordination/stream-store.ts
+++ b/src/coordination/stream-store.ts
@@ -5,6 +5,7 @@
 import * as stream from 'node:stream'
 import * as environment from './environment.js'
 import * as streamId from '../protocol/stream-id.js'
+import * as wholeEvents from '../protocol/whole-events.js'
 
 interface HeldStream {
   chunks: Buffer[]
@@ -14,6 +15,8 @@
   /** When the last reader left, or the source ended. */
   idleSinceMs: number
   readers: number
+  /** Whether a reader has received the last event. */
+  isRead: boolean
   source: stream.Readable
   waiters: Set<() => void>
 }
@@ -27,6 +30,8 @@
   capture (attemptId: string, source: stream.Readable): Promise<'complete' | 'broken'>
   /** Reads a held stream from an offset on; undefined when no data after the offset is held or expected. */
   open (attemptId: string, fromBytes: number): stream.Readable | undefined
+  /** Whether the rest of a stream may still be fetched: its reader left before its end, and not long ago. */
+  isAwaited (): boolean
 }
 
 export interface StreamStoreParts {
@@ -39,7 +44,6 @@
 const ABANDONED_GRACE_MS = 5_000
 const RETENTION_MS = 30_000
 const MAX_HELD_BYTES = 8 * 1024 * 1024
-const EVENT_END = Buffer.from('\n\n')
 const SWEEP_PERIOD_MS = 1_000
 
 export function createStreamStore (
@@ -47,26 +51,26 @@
 ): StreamStore {
   const streams = new Map<string, HeldStream>()
   environment.every(SWEEP_PERIOD_MS, signal, sweep)
-  return { capture, open }
+  return {
+    capture,
+    open,
+    isAwaited: () => [...streams.values()].some(held =>
+      !held.isRead && held.state !== 'broken' && env.nowMs() - held.idleSinceMs <= ABANDONED_GRACE_MS)
+  }
 
   async function capture (attemptId: string, source: stream.Readable): Promise<'complete' | 'broken'> {
     const held: HeldStream = {
-      chunks: [], sizeBytes: 0, state: 'open', idleSinceMs: env.nowMs(), readers: 0, source, waiters: new Set()
+      chunks: [], sizeBytes: 0, state: 'open', idleSinceMs: env.nowMs(), readers: 0, isRead: false, source, waiters: new Set()
     }
     streams.set(attemptId, held)
-    let pending: Buffer = Buffer.alloc(0)
+    const splitter = new wholeEvents.WholeEvents()
     try {
       for await (const chunk of source as AsyncIterable<Buffer>) {
-        pending = pending.length === 0 ? chunk : Buffer.concat([pending, chunk])
-        let end = pending.indexOf(EVENT_END)
-        while (end >= 0) {
-          append(attemptId, held, pending.subarray(0, end))
-          pending = pending.subarray(end + EVENT_END.length)
-          end = pending.indexOf(EVENT_END)
-        }
-        wakeReaders(held)
+        const events = splitter.push(chunk)
+        for (const event of events) append(attemptId, held, event)
+        if (events.length > 0) wakeReaders(held)
       }
-      held.state = pending.length === 0 ? 'complete' : 'broken'
+      held.state = splitter.hasPartialEvent ? 'broken' : 'complete'
     } catch {
       held.state = 'broken'
     }
@@ -103,7 +107,10 @@
             skipBytes = 0
           }
         }
-        if (held.state === 'complete') return
+        if (held.state === 'complete') {
+          held.isRead = true
+          return
+        }
         if (held.state === 'broken') throw new Error('the backend server\'s stream broke off')
         await new Promise<void>(resolve => held.waiters.add(resolve))
       }
@@ -137,8 +144,8 @@
   let offsetBytes = before.offsetBytes
   for (;;) {
     const idLine = Buffer.from(`id: ${streamId.formatStreamId({ ...before, offsetBytes })}\n`)
-    const afterBytes = before.offsetBytes + idLine.length + event.length + EVENT_END.length
-    if (afterBytes === offsetBytes) return Buffer.concat([idLine, event, EVENT_END])
+    const afterBytes = before.offsetBytes + idLine.length + event.length
+    if (afterBytes === offsetBytes) return Buffer.concat([idLine, event])
     offsetBytes = afterBytes
   }
 }
