http calls: read what waits in a kept connection before the next call is sent

Cause: a kept connection is closed on bytes that arrive between two calls, but only once the process has read them. A process that is busy when they arrive makes the next call first and takes the copy for its answer; a call that waits for a connection gets it in the same turn in which the answer before it ended. It is a fault of the product: a write to the store would have been believed on the answer to an earlier call. Change: a call on a kept connection is sent after the event loop has read what had arrived. If that brought bytes or the end of the connection, the call, which has not been sent, is made on another one within its time. Before, it failed as one that may have been performed. Left open: a copy that arrives after the next call was sent can't be told apart where answers have no id.

--- a/src/transport/http-call.ts
+++ b/src/transport/http-call.ts
@@ -27,7 +27,7 @@
   /** `wasSent`: the server may have acted on the call. `isTooLarge`: its answer exceeded the limit. */
   | { kind: 'failed', wasSent: boolean, isTooLarge: boolean, reason: string }
 
-/** Listeners on connections that no call uses. */
+/** Listeners on connections on which no call has been sent since the last answer. */
 const idleListeners = new WeakMap<net.Socket, () => void>()
 
 /** Keeps connections open for further calls. One on which bytes arrive between two calls is closed. */
@@ -48,12 +48,33 @@
   idleListeners.delete(socket)
 }
 
+/** Calls back when the bytes that have arrived before are read. */
+function afterWaitingBytes (callback: () => void): void {
+  // The first turn may be in the middle of reading sockets.
+  setImmediate(() => { setImmediate(callback) })
+}
+
 export async function callHttp (call: HttpCall): Promise<HttpCallResult> {
+  const endsAtMs = performance.now() + call.timeoutMs
+  for (;;) {
+    const result = await callOnce(call, Math.max(0, endsAtMs - performance.now()))
+    if (result.kind !== 'connection_lost') return result
+  }
+}
+
+/** `connection_lost`: a kept connection was closed before the call was sent. */
+async function callOnce (call: HttpCall, timeoutMs: number): Promise<HttpCallResult | { kind: 'connection_lost' }> {
   const [host, port] = call.address.split(':')
   return await new Promise(resolve => {
     let wasSent = false
     let isTooLarge = false
-    const fail = (error: Error): void => { resolve({ kind: 'failed', wasSent, isTooLarge, reason: error.message }) }
+    let isTimedOut = false
+    /** Whether the call has a kept connection and is not sent yet. */
+    let isHeldBack = false
+    const fail = (error: Error): void => {
+      if (isHeldBack && !isTimedOut && !call.signal.aborted) resolve({ kind: 'connection_lost' })
+      else resolve({ kind: 'failed', wasSent, isTooLarge, reason: error.message })
+    }
     const request = http.request({
       host,
       port: Number(port),
@@ -65,6 +86,11 @@
         ? {}
         : { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(call.body) }
     }, response => {
+      if (isHeldBack) {
+        request.destroy()
+        resolve({ kind: 'connection_lost' })
+        return
+      }
       const chunks: Buffer[] = []
       let sizeBytes = 0
       response.on('data', (chunk: Buffer) => {
@@ -85,16 +111,29 @@
         resolve({ kind: 'answer', status: statusCode, headers, body: Buffer.concat(chunks) })
       })
     })
-    const timer = setTimeout(() => { request.destroy(new Error('no answer in time')) }, call.timeoutMs)
+    const timer = setTimeout(() => {
+      isTimedOut = true
+      request.destroy(new Error('no answer in time'))
+    }, timeoutMs)
     answerEnd.watchEnd(request)
     request.on('socket', socket => {
-      noteReuse(socket)
-      if (socket.connecting) socket.once('connect', () => { wasSent = true })
-      else wasSent = true
+      isHeldBack = idleListeners.has(socket)
+      if (!isHeldBack) {
+        if (socket.connecting) socket.once('connect', () => { wasSent = true })
+        else wasSent = true
+        request.end(call.body)
+        return
+      }
+      afterWaitingBytes(() => {
+        if (request.destroyed || !socket.writable) return
+        noteReuse(socket)
+        isHeldBack = false
+        wasSent = true
+        request.end(call.body)
+      })
     })
     request.on('error', fail)
     request.on('close', () => { clearTimeout(timer) })
-    request.end(call.body)
   })
 }
 
