claim-store test: judge the writer's interval on a clock of its own

Cause: the test bounds 800 claims in 8 transactions through the HTTP stand-in of the table service by 500 ms of real time. That is mostly the processor time of the stand-in and its client in the same process: 69 to 155 ms at load 41 on 8 cores, and 222 to 247 ms and 454 to 496 ms with the process blocked for 20 ms of each 30 and 50 of each 60. Change: the writer runs on timers of the test against a table that commits at once. 50 claims in 250 ms still take at most 5 transactions, now also with the whole interval between any two, and 800 claims at once take at most 9 and less than one interval of the writer (100 ms in place of 500). No change of the product.

--- a/src/coordination/__tests__/claim-store.spec.ts
+++ b/src/coordination/__tests__/claim-store.spec.ts
@@ -4,6 +4,7 @@
 import * as environment from '../environment.js'
 import * as jsonServer from '../../../standins/json-server.js'
 import type * as claims from '../../state/claim.js'
+import type * as platform from '../../protocol/platform.js'
 import * as tableService from '../../../standins/table-service.js'
 import * as tableClient from '../../transport/table-client.js'
 
@@ -95,23 +96,40 @@
 
 // Guards against a write rate that grows with the table service's speed, and against a burst that is delayed.
 vitest.test('writer keeps its interval, except for full transactions', async () => {
-  standin.faults.delayMs = 0
+  vitest.vi.useFakeTimers({ toFake: ['setTimeout', 'clearTimeout', 'setImmediate', 'performance'] })
+  vitest.onTestFinished(() => { vitest.vi.useRealTimers() })
+  const startsMs: number[] = []
+  const fast = {
+    transact: async () => {
+      startsMs.push(env.nowMs())
+      return { kind: 'committed' }
+    }
+  } as unknown as platform.TableService
   const options = { minIntervalMs: 100, maxBatchesInFlight: 4 }
-  const writer = claimStore.createClaimWriter(env, table, ended.signal, options)
-  const writeAll = async (count: number, name: string): Promise<number> => {
-    const before = standin.counts.writes
-    await Promise.all(Array.from({ length: count }, async (_, index) => {
-      await new Promise(resolve => setTimeout(resolve, name === 'burst' ? 0 : index * 5))
+  const writer = claimStore.createClaimWriter(env, fast, ended.signal, options)
+  const writeAll = async (
+    count: number, name: string, intervalMs: number
+  ): Promise<{ startsMs: number[], tookMs: number }> => {
+    startsMs.length = 0
+    const beganAtMs = env.nowMs()
+    let committedAtMs = Infinity
+    const writes = Promise.all(Array.from({ length: count }, async (_, index) => {
+      await new Promise(resolve => setTimeout(resolve, index * intervalMs))
       const claim = { attemptId: `${index}`, agentIncarnation: '', agentAddress: '', fingerprint: '', state: 'open' as const }
       return writer.write({ key: `${name}-${index}`, write: { claim, expectedRevision: 0 }, operationId: name })
-    }))
-    return standin.counts.writes - before
+    })).then(() => { committedAtMs = env.nowMs() })
+    await vitest.vi.advanceTimersByTimeAsync(1_000)
+    await writes
+    return { startsMs: [...startsMs], tookMs: committedAtMs - beganAtMs }
   }
   // 50 claims in 250 ms: one transaction at once, and one for each interval.
-  vitest.expect(await writeAll(50, 'paced')).toBeLessThanOrEqual(5)
-  const startedAtMs = env.nowMs()
-  vitest.expect(await writeAll(800, 'burst')).toBeLessThanOrEqual(9)
-  vitest.expect(env.nowMs() - startedAtMs).toBeLessThan(500)
+  const paced = await writeAll(50, 'paced', 5)
+  vitest.expect(paced.startsMs.length).toBeLessThanOrEqual(5)
+  const gapsMs = paced.startsMs.slice(1).map((atMs, index) => atMs - paced.startsMs[index]!)
+  vitest.expect(Math.min(...gapsMs)).toBeGreaterThanOrEqual(options.minIntervalMs)
+  const burst = await writeAll(800, 'burst', 0)
+  vitest.expect(burst.startsMs.length).toBeLessThanOrEqual(9)
+  vitest.expect(burst.tookMs).toBeLessThan(options.minIntervalMs)
 })
 
 // Guards against claims that are refused, and an outage that is assumed, when a transaction only collided with another
