configuration: use a copy that a peer sends while the newest revision is asked for

Cause, part of the listed reads of pages after a table outage: an entry without a copy notes that it has none, asks the table service for the newest revision, and then reads all rows, also if a peer has sent its copy in between. While many entries start, peers and table are asked at the same time. Change: what the entry holds is read after the answer.

--- a/src/coordination/__tests__/configuration-sync.spec.ts
+++ b/src/coordination/__tests__/configuration-sync.spec.ts
@@ -34,3 +34,41 @@
   vitest.expect(sync.isTableAvailable()).toBe(true)
   stopped.abort()
 })
+
+// Guards against a read of all rows by an entry that gets the configuration from a peer while it asks for the newest.
+vitest.test('copy that a peer sends during the question for the newest revision is used', async () => {
+  const stopped = new AbortController()
+  let revision = 0
+  let lists = 0
+  let confirmations = 0
+  const table: platform.TableService = {
+    get: async () => {
+      revision = 5
+      return { kind: 'ok', value: { key: { partition: 'head', sort: 'head' }, revision: 5, document: {} } }
+    },
+    list: async () => {
+      lists += 1
+      return { kind: 'ok', value: [] }
+    },
+    transact: async () => ({ kind: 'unavailable', mayHaveApplied: false, detail: 'down' })
+  }
+  const env = { nowMs: () => 0, random: () => 0, log: { emit: () => {} } } as unknown as environment.Environment
+  const task = {
+    read: async (reader: (copy: { revision: number }) => unknown) => reader({ revision }),
+    replace: async () => {}
+  } as unknown as configurationTask.ConfigurationTask
+  const sync = configurationSync.startConfigurationSync(env, {
+    table,
+    task,
+    guard: {
+      hasCopy: () => false, confirm: () => { confirmations += 1 }
+    } as unknown as configurationGuard.ConfigurationGuard,
+    isReader: async () => false,
+    snapshots: undefined,
+    isFirstReader: async () => true
+  }, stopped.signal)
+  vitest.expect(await sync.catchUp()).toEqual({ kind: 'ok', value: 5 })
+  vitest.expect(lists).toBe(0)
+  vitest.expect(confirmations).toBe(1)
+  stopped.abort()
+})
--- a/src/coordination/configuration-sync.ts
+++ b/src/coordination/configuration-sync.ts
@@ -144,10 +144,11 @@
 
   async function catchUpOnce (): Promise<platform.TableResult<number>> {
     const startedAtMs = env.nowMs()
-    let revision = await task.read(copy => copy.revision)
     const head = await changeLog.readHead(table, signal)
     noteAvailability(head.kind === 'ok')
     if (head.kind !== 'ok') return head
+    // A peer may have sent its copy meanwhile.
+    let revision = await task.read(copy => copy.revision)
     if (revision === 0 && head.value > 0) {
       const snapshot = await readFullSnapshot(head.value)
       if (snapshot.kind !== 'ok') return snapshot
