state: whole responses without a common part count as evidence against it

What callers saw: a part that a sixth of the requests have, which crashes backend servers at the end of the response, was refused after nine crashes and more, with up to 4 requests past the bound of 3 (crashing-parts.spec.ts, after 20 events, beside load).

Cause: a part with a tenth of the running time or more is likely to be at a crash by chance, so that each crash says little. Its evidence was held against a bound for one of all features, of which there are hundreds.

Change: responses that end whole since the part's first crash count too, if they ran at a backend server where requests with the part ran, and for as long as those usually do. A whole response with the part clears it, so that all of them lack it. The bound follows from the number of common parts. A part of all requests gathers nothing by this. recurrence-watch.ts takes the backend server and the duration from the call's latest run.

--- a/src/coordination/gateway/recurrence-watch.ts
+++ b/src/coordination/gateway/recurrence-watch.ts
@@ -3,6 +3,7 @@
  */
 
 import * as crashRecurrence from '../../state/crash-recurrence.js'
+import type * as featureUsage from '../../state/feature-usage.js'
 import type * as backendPool from '../../state/backend-pool.js'
 import type * as peerMessage from '../../protocol/peer-message.js'
 import type * as runtime from '../runtime.js'
@@ -16,6 +17,8 @@
 export class RecurrenceWatch {
   readonly #options: gatedCall.GateOptions
   readonly #state = crashRecurrence.createCrashRecurrence()
+  /** Latest attempt of each request. */
+  readonly #lastRuns = new WeakMap<gatedCall.GatedCall, { place: featureUsage.UsagePlace, durationMs: number }>()
   #decideTimer: NodeJS.Timeout | undefined
 
   constructor (options: gatedCall.GateOptions) {
@@ -35,12 +38,14 @@
   /** Called when an attempt has ended that may have run. */
   noteRun (call: gatedCall.GatedCall, row: backendPool.BackendRow, durationMs: number): void {
     const place = { service: call.service, server: row.id }
+    this.#lastRuns.set(call, { place, durationMs })
     crashRecurrence.noteRun(this.#state, place, call.features, durationMs, this.#runtime.nowMs())
   }
 
-  /** Called when a response that was not resumed has ended whole. */
+  /** Called after `noteRun`, when a response that was not resumed has ended whole. */
   noteWhole (call: gatedCall.GatedCall): void {
-    const cleared = crashRecurrence.noteWhole(this.#state, call.features, this.#runtime.nowMs())
+    const { place, durationMs } = this.#lastRuns.get(call)!
+    const cleared = crashRecurrence.noteWhole(this.#state, place, call.features, durationMs, this.#runtime.nowMs())
     if (cleared.length === 0) return
     this.#runtime.log.emit('crashFeatureSound', { request: call.id, features: cleared })
     this.#options.broadcast({ kind: 'whole', features: cleared })
--- a/src/state/__tests__/crash-recurrence.spec.ts
+++ b/src/state/__tests__/crash-recurrence.spec.ts
@@ -1,6 +1,7 @@
 import * as vitest from 'vitest'
 import * as crashRecurrence from '../crash-recurrence.js'
 import * as crashLoads from './crash-loads.js'
+import type * as crashSuspects from '../crash-suspects.js'
 import type * as crashSimulation from './crash-simulation.js'
 
 const { expect, test } = vitest
@@ -45,6 +46,14 @@
   }
 })
 
+// Guards against a part that counts as common, so that too many crashes are needed to blame it.
+test('a part of many requests is found by one gateway', () => {
+  const fields: Partial<crashLoads.Load> = {
+    ...SINGLE, ranks: 4, gateways: 1, requestsPerS: 6, crashAt: { share: 1, events: 0 }, events: [20, 20], maxRuns: 2
+  }
+  for (const seed of SEEDS) expectLearned(simulate(seed, { ...fields, crashingShare: 0.5 }))
+})
+
 // Guards against crashes that are learned of by a few gateways only.
 test.each(POINTS)('crashes that come %s are learned from when messages are lost', (_, crashAt) => {
   for (const seed of SEEDS) expectLearned(simulate(seed, { crashAt, lossShare: 0.05 }))
@@ -93,6 +102,27 @@
   }
 })
 
+// Guards against blame for a part whose requests take longer than those that end whole, or run elsewhere.
+test('a common part is blamed when comparable responses without it end whole', () => {
+  const blamedAfter = (wholes: number, durationMs: number, server: string): string[] => {
+    // Requests with a sixth of the running time, all at one backend server.
+    const state = busyState(6)
+    return [1, 2, 3, 4, 5].flatMap(index => {
+      for (const call of ['a', 'b']) crashRecurrence.noteCrash(state, { ...crashOf(index), call, parts: ['part 1'] }, index * 2_000)
+      const blamed = crashRecurrence.decide(state, index * 2_000 + 400, () => 0)
+      for (let whole = 0; whole < wholes; whole++) {
+        const features = { request: `later ${index} ${whole}`, parts: ['other'] }
+        crashRecurrence.noteWhole(state, { service: 's', server }, features, durationMs, index * 2_000 + 500)
+      }
+      return blamed
+    })
+  }
+  expect(blamedAfter(10, 1_000, 'server 1')).toEqual(['part 1'])
+  expect(blamedAfter(0, 1_000, 'server 1')).toEqual([])
+  expect(blamedAfter(10, 300, 'server 1')).toEqual([])
+  expect(blamedAfter(10, 1_000, 'server 2')).toEqual([])
+})
+
 // Guards against blame for a part that a sound request has shown to be so.
 test('a response that ends whole between the crashes clears its parts', () => {
   const state = busyState()
@@ -100,7 +130,7 @@
     const atMs = index * 2_000
     noteCrash(state, index, atMs)
     expect(crashRecurrence.decide(state, atMs + 400, () => 0)).toEqual([])
-    expect(crashRecurrence.noteWhole(state, { request: 'sound', parts: ['part a'] }, atMs + 500)).toEqual(['part a'])
+    expect(noteWhole(state, { request: 'sound', parts: ['part a'] }, atMs + 500)).toEqual(['part a'])
   }
 })
 
@@ -114,7 +144,7 @@
   expect(blamed).toEqual(['part a'])
   expect(crashRecurrence.isBlamed(state, features, 11_000)).toBe(true)
   expect(crashRecurrence.isBlamed(state, { request: 'other', parts: ['part b'] }, 11_000)).toBe(false)
-  crashRecurrence.noteWhole(state, features, 12_000)
+  noteWhole(state, features, 12_000)
   expect(crashRecurrence.isBlamed(state, features, 12_000)).toBe(false)
   // Another gateway has missed that.
   crashRecurrence.applyBlamed(state, 'part a', 50_000, 12_500)
@@ -129,7 +159,7 @@
     crashRecurrence.noteCrash(state, { ...crashOf(index), call, request: 'copied', parts: ['part a'] }, atMs)
     crashRecurrence.decide(state, atMs + 400, () => 0)
     // Sound requests have the same part.
-    crashRecurrence.noteWhole(state, { request: `sound ${index}`, parts: ['part a'] }, atMs + 500)
+    noteWhole(state, { request: `sound ${index}`, parts: ['part a'] }, atMs + 500)
   }
   expect(crashRecurrence.isBlamed(state, { request: 'copied', parts: [] }, 11_000)).toBe(true)
   expect(crashRecurrence.isBlamed(state, { request: 'other', parts: ['part a'] }, 11_000)).toBe(false)
@@ -165,11 +195,13 @@
 })
 
 /** A gateway that has seen a minute of sound requests with other parts. */
-function busyState (): crashRecurrence.CrashRecurrence {
+function busyState (parts = 10): crashRecurrence.CrashRecurrence {
   const state = crashRecurrence.createCrashRecurrence()
   for (let index = 0; index < 100; index++) {
-    const features = { request: `sound ${index}`, parts: [`part ${index % 10}`] }
-    crashRecurrence.noteRun(state, { service: 's', server: `server ${index % 6}` }, features, 1_000, 0)
+    const features = { request: `sound ${index}`, parts: [`part ${index % parts}`] }
+    const place = { service: 's', server: `server ${index % 6}` }
+    crashRecurrence.noteRun(state, place, features, 1_000, 0)
+    crashRecurrence.noteWhole(state, place, features, 1_000, 0)
   }
   return state
 }
@@ -184,6 +216,10 @@
   crashRecurrence.noteCrash(state, { ...crashOf(index), parts: ['part a'] }, nowMs)
 }
 
+function noteWhole (state: crashRecurrence.CrashRecurrence, features: crashSuspects.Features, nowMs: number): string[] {
+  return crashRecurrence.noteWhole(state, { service: 's', server: 'server 1' }, features, 1_000, nowMs)
+}
+
 function expectLearned ({ crashesAtMs, crashingSentAtMs }: crashSimulation.CrashResult): void {
   expect(crashesAtMs.length).toBeGreaterThan(1)
   const knownAtMs = (crashesAtMs[LEARNING_CRASHES - 1] ?? Infinity) + CONTACT_MS
--- a/src/state/__tests__/crash-simulation.ts
+++ b/src/state/__tests__/crash-simulation.ts
@@ -255,7 +255,9 @@
     if (cleared.length > 0) {
       tell(other => { crashSuspects.applyCleared(other.suspects, cleared, nowMs, optionsOf(other)) })
     }
-    const whole = isLast && !run.isResumed ? crashRecurrence.noteWhole(recurrence, features, nowMs) : []
+    if (!isLast || run.isResumed) return
+    const place = { service: SERVICE, server: `rank-${run.rank}` }
+    const whole = crashRecurrence.noteWhole(recurrence, place, features, nowMs - run.startedAtMs, nowMs)
     if (whole.length > 0) tell(other => { crashRecurrence.clear(other.recurrence, whole, nowMs) })
   }
 
--- a/src/state/crash-recurrence.ts
+++ b/src/state/crash-recurrence.ts
@@ -32,6 +32,8 @@
   usage: Record<FeatureKind, featureUsage.FeatureUsage>
   /** In the order in which they were heard of. */
   crashes: Crash[]
+  /** Since the first of the crashes. */
+  wholes: WholeResponse[]
   blames: Map<string, Blame>
   /** Features that were blamed until a response showed them to be sound, with the time of that. */
   acquitted: Map<string, number>
@@ -48,6 +50,13 @@
   evidence: Map<string, Evidence> | undefined
 }
 
+interface WholeResponse {
+  atMs: number
+  durationMs: number
+  service: string
+  server: string
+}
+
 interface Evidence {
   /** Logarithm of a ratio of probabilities. */
   weight: number
@@ -69,12 +78,15 @@
 /** A crash counts for this long. */
 const CRASH_LIFETIME_MS = 60_000
 const MAX_CRASHES = 200
+const MAX_WHOLES = 1_000
 /** Fewer crashes blame nothing, however rare a feature is. */
 const MIN_CRASHES = 3
 /** A gateway that has seen fewer requests of late can't tell rare features from common ones. Others can. */
 const MIN_REQUESTS = 8
 /** A small sample shows fewer features than there are. */
 const MIN_FEATURES = 30
+/** The same for common parts, few of which fit into the running time. */
+const MIN_COMMON_FEATURES = 10
 /** Share of the crashes that may have another cause than the feature that is looked for. */
 const OTHER_CAUSES = 0.3
 /** Accepted probability of blame for a feature that only chance brought to the crashes. */
@@ -87,6 +99,8 @@
 const CERTAIN_SHARE = 0.2
 /** Evidence by which a culprit has to lead a feature that was at other crashes. */
 const MIN_LEAD = 1.5
+/** A response that is shorter than a part's usual ones by more than this may be of another kind. */
+const COMPARABLE_DURATION = 0.75
 /** Keeps a message to other gateways below the usual 1,400 bytes. */
 const MAX_REPEATED = 10
 
@@ -94,6 +108,7 @@
   return {
     usage: { request: featureUsage.createFeatureUsage(), part: featureUsage.createFeatureUsage() },
     crashes: [],
+    wholes: [],
     blames: new Map(),
     acquitted: new Map()
   }
@@ -139,7 +154,7 @@
     crash.evidence = evidenceOf(state, crash, nowMs)
     renewBlames(state, crash, nowMs, random)
     if (featureUsage.countRequests(state.usage.part, crash.service, nowMs) < MIN_REQUESTS) continue
-    for (const culprit of findCulprits(state, crash.service)) {
+    for (const culprit of findCulprits(state, crash.service, nowMs)) {
       if (state.blames.has(culprit)) continue
       blame(state, culprit, nowMs, random)
       blamed.push(culprit)
@@ -154,7 +169,13 @@
 }
 
 /** Records that a response ended whole. @returns those of its features that were held against it. */
-export function noteWhole (state: CrashRecurrence, features: crashSuspects.Features, nowMs: number): string[] {
+export function noteWhole (
+  state: CrashRecurrence, place: featureUsage.UsagePlace, features: crashSuspects.Features, durationMs: number,
+  nowMs: number
+): string[] {
+  featureUsage.noteWhole(state.usage.part, place.service, features.parts, durationMs, nowMs)
+  if (state.crashes.length > 0) state.wholes.push({ ...place, atMs: nowMs, durationMs })
+  if (state.wholes.length > MAX_WHOLES) state.wholes.shift()
   if (state.crashes.length === 0 && state.blames.size === 0) return []
   return clear(state, featureList(features), nowMs)
 }
@@ -217,28 +238,50 @@
 }
 
 /** @returns the features that explain the crashes, the best one first; each explains what the ones before do not. */
-function findCulprits (state: CrashRecurrence, service: string): string[] {
+function findCulprits (state: CrashRecurrence, service: string, nowMs: number): string[] {
   const culprits: string[] = []
   let unexplained = state.crashes.filter(crash => crash.service === service && crash.evidence !== undefined)
   for (;;) {
-    const scores = [...scoresOf(unexplained)].sort(([, a], [, b]) => compareScores(a, b))
+    const scores = [...scoresOf(unexplained)].map(([feature, score]): [string, Score] => {
+      return [feature, { ...score, evidence: score.evidence + absenceFromWhole(state, service, feature, score, nowMs) }]
+    }).sort(([, a], [, b]) => compareScores(a, b))
     const [culprit, score] = scores[0] ?? []
-    if (culprit === undefined || score === undefined || !isConvincing(state, service, scores)) return culprits
+    if (culprit === undefined || score === undefined || !isConvincing(state, service, scores, nowMs)) return culprits
     culprits.push(culprit)
     unexplained = unexplained.filter(crash => !score.crashes.has(crash))
   }
 }
 
+/**
+ * Evidence from the whole responses since a common part's first crash, none of which has it: otherwise the crash would
+ * no longer be held against the part. Only those count that ran where requests with the part ran too, and for as long.
+ */
+function absenceFromWhole (
+  state: CrashRecurrence, service: string, feature: string, { kind, isCommon, crashes }: Score, nowMs: number
+): number {
+  if (kind === 'request' || !isCommon) return 0
+  const usage = state.usage.part
+  const sinceMs = Math.min(...[...crashes].map(({ atMs }) => atMs))
+  const minDurationMs = COMPARABLE_DURATION * featureUsage.usualDurationMs(usage, service, feature)
+  const share = featureUsage.usageShare(usage, { service, server: '' }, feature, false, nowMs)
+  const servers = state.wholes.filter(whole =>
+    whole.service === service && whole.atMs > sinceMs && whole.durationMs >= minDurationMs).map(({ server }) => server)
+  return servers.reduce((sum, server) =>
+    sum - Math.log(1 - Math.min(share, featureUsage.shareAtServer(usage, server, feature, share, nowMs))), 0)
+}
+
 /** Of two features that were always there together, a request says more than a part. */
 function compareScores (a: Score, b: Score): number {
   return b.evidence - a.evidence || Number(a.kind === 'part') - Number(b.kind === 'part')
 }
 
 /** Whether the first feature has enough evidence against it, and clearly more than those that were elsewhere. */
-function isConvincing (state: CrashRecurrence, service: string, scores: [string, Score][]): boolean {
+function isConvincing (
+  state: CrashRecurrence, service: string, scores: [string, Score][], nowMs: number
+): boolean {
   const [best, ...others] = scores.map(([, score]) => score)
   if (best === undefined || best.crashes.size < MIN_CRASHES) return false
-  if (best.evidence < requiredEvidence(state, service, best)) return false
+  if (best.evidence < requiredEvidence(state, service, best, nowMs)) return false
   return others.every(other => best.evidence - other.evidence >= MIN_LEAD || isSubset(other.crashes, best.crashes))
 }
 
@@ -267,9 +310,11 @@
 }
 
 /** With more features, chance brings one of them to more crashes. */
-function requiredEvidence (state: CrashRecurrence, service: string, { kind, isCommon }: Score): number {
-  const features = Math.max(MIN_FEATURES, featureUsage.countFeatures(state.usage[kind], service))
-  return Math.log(features / (isCommon ? FALSE_BLAME_COMMON : FALSE_BLAME))
+function requiredEvidence (state: CrashRecurrence, service: string, { kind, isCommon }: Score, nowMs: number): number {
+  const usage = state.usage[kind]
+  if (!isCommon) return Math.log(Math.max(MIN_FEATURES, featureUsage.countFeatures(usage, service)) / FALSE_BLAME)
+  const common = featureUsage.countLargeShares(usage, service, COMMON_SHARE, nowMs)
+  return Math.log(Math.max(MIN_COMMON_FEATURES, common) / FALSE_BLAME_COMMON)
 }
 
 /** Renews the blame for features that were tried again, at whichever gateway. */
@@ -288,6 +333,7 @@
 
 function prune (state: CrashRecurrence, nowMs: number): void {
   state.crashes = state.crashes.slice(-MAX_CRASHES).filter(({ atMs }) => atMs + CRASH_LIFETIME_MS >= nowMs)
+  state.wholes = state.crashes.length === 0 ? [] : state.wholes.filter(({ atMs }) => atMs + CRASH_LIFETIME_MS >= nowMs)
   for (const [feature, { untilMs }] of state.blames) {
     if (untilMs + CRASH_LIFETIME_MS < nowMs) state.blames.delete(feature)
   }
--- a/src/state/feature-usage.ts
+++ b/src/state/feature-usage.ts
@@ -14,6 +14,14 @@
   /** Number of requests. */
   requests: DecayingSum
   byFeature: Map<string, DecayingSum>
+  whole: WholeResponses
+  wholeByFeature: Map<string, WholeResponses>
+}
+
+/** Responses that ended whole. */
+interface WholeResponses {
+  count: DecayingSum
+  durationMs: DecayingSum
 }
 
 interface DecayingSum {
@@ -55,12 +63,32 @@
     add(table.requests, 1, nowMs)
     for (const feature of features) {
       const known = table.byFeature.get(feature)
-      if (known === undefined) addFeature(table, feature, { value: durationMs, atMs: nowMs })
+      if (known === undefined) insert(table.byFeature, feature, { value: durationMs, atMs: nowMs })
       else add(known, durationMs, nowMs)
     }
   }
 }
 
+/** Records a response that ended whole. */
+export function noteWhole (
+  usage: FeatureUsage, service: string, features: readonly string[], durationMs: number, nowMs: number
+): void {
+  const { whole, wholeByFeature } = tableOf(usage.services, service)
+  addWhole(whole, durationMs, nowMs)
+  for (const feature of features) {
+    const known = wholeByFeature.get(feature) ?? noResponses()
+    addWhole(known, durationMs, nowMs)
+    if (!wholeByFeature.has(feature)) insert(wholeByFeature, feature, known)
+  }
+}
+
+/** @returns mean duration of the whole responses with a feature; of all of the service if there were none. */
+export function usualDurationMs (usage: FeatureUsage, service: string, feature: string): number {
+  const table = usage.services.get(service)
+  const { count, durationMs } = table?.wholeByFeature.get(feature) ?? table?.whole ?? noResponses()
+  return count.value === 0 ? Infinity : durationMs.value / count.value
+}
+
 /**
  * @param isHome whether the share at the backend server counts as well, since requests with the feature may be sent
  *   there on purpose.
@@ -74,11 +102,23 @@
   const requests = current(service?.requests, nowMs)
   const priorMs = totalMs === 0 ? 1 : PRIOR_REQUESTS * Math.max(1, LARGE_SAMPLE / requests) * totalMs / requests
   const share = (runningMs(service, feature, nowMs) + priorMs) / (totalMs + 2 * priorMs)
-  if (!isHome) return share
-  const server = usage.servers.get(place.server)
-  const homeShare = (runningMs(server, feature, nowMs) + SERVER_PRIOR_MS * share) /
-    (current(server?.total, nowMs) + SERVER_PRIOR_MS)
-  return Math.max(share, homeShare)
+  return isHome ? Math.max(share, shareAtServer(usage, place.server, feature, share, nowMs)) : share
+}
+
+/** @returns share of a backend server's running time that requests with the feature have. */
+export function shareAtServer (
+  usage: FeatureUsage, server: string, feature: string, serviceShare: number, nowMs: number
+): number {
+  const table = usage.servers.get(server)
+  return (runningMs(table, feature, nowMs) + SERVER_PRIOR_MS * serviceShare) /
+    (current(table?.total, nowMs) + SERVER_PRIOR_MS)
+}
+
+/** Number of features that have more than this share of the running time. */
+export function countLargeShares (usage: FeatureUsage, service: string, smallestShare: number, nowMs: number): number {
+  const table = usage.services.get(service)
+  const smallestMs = smallestShare * current(table?.total, nowMs)
+  return [...table?.byFeature.values() ?? []].filter(sum => current(sum, nowMs) > smallestMs).length
 }
 
 /** Number of requests of a service that have run of late. */
@@ -99,7 +139,13 @@
 function tableOf (tables: Map<string, UsageTable>, key: string): UsageTable {
   const known = tables.get(key)
   if (known !== undefined) return known
-  const table: UsageTable = { total: { value: 0, atMs: 0 }, requests: { value: 0, atMs: 0 }, byFeature: new Map() }
+  const table: UsageTable = {
+    total: { value: 0, atMs: 0 },
+    requests: { value: 0, atMs: 0 },
+    byFeature: new Map(),
+    whole: noResponses(),
+    wholeByFeature: new Map()
+  }
   tables.set(key, table)
   return table
 }
@@ -117,17 +163,30 @@
   return current(table?.byFeature.get(feature), nowMs)
 }
 
-function addFeature (table: UsageTable, feature: string, sum: DecayingSum): void {
-  if (table.byFeature.size >= MAX_FEATURES) table.byFeature.delete(table.byFeature.keys().next().value!)
-  table.byFeature.set(feature, sum)
+function noResponses (): WholeResponses {
+  return { count: { value: 0, atMs: 0 }, durationMs: { value: 0, atMs: 0 } }
+}
+
+/** The two sums decay alike, so that their ratio is the mean at any time. */
+function addWhole (whole: WholeResponses, durationMs: number, nowMs: number): void {
+  add(whole.count, 1, nowMs)
+  add(whole.durationMs, durationMs, nowMs)
+}
+
+function insert<Value> (byFeature: Map<string, Value>, feature: string, value: Value): void {
+  if (byFeature.size >= MAX_FEATURES) byFeature.delete(byFeature.keys().next().value!)
+  byFeature.set(feature, value)
 }
 
 function prune (usage: FeatureUsage, nowMs: number): void {
   if (nowMs - usage.prunedAtMs < PRUNE_INTERVAL_MS) return
   usage.prunedAtMs = nowMs
   for (const tables of [usage.services, usage.servers]) {
-    for (const [key, { total, byFeature }] of tables) {
+    for (const [key, { total, byFeature, wholeByFeature }] of tables) {
       for (const [feature, sum] of byFeature) if (current(sum, nowMs) < MIN_USAGE_MS) byFeature.delete(feature)
+      for (const [feature, { durationMs }] of wholeByFeature) {
+        if (current(durationMs, nowMs) < MIN_USAGE_MS) wholeByFeature.delete(feature)
+      }
       if (current(total, nowMs) < MIN_USAGE_MS) tables.delete(key)
     }
   }
