--- a/src/coordination/gateway/service-queue.ts
+++ b/src/coordination/gateway/service-queue.ts
@@ -92,14 +92,16 @@
     const waiters = this.#waitersOf(request.service)
     if (request.signal.aborted) return { kind: 'aborted' }
     recentRate.noteEvent(rateOf(this.#arrived, request.service), nowMs())
-    if (waiters.length === 0) {
+    // Requests that run and wait for another backend server as well keep no other one from a free slot.
+    const ahead = waiters.filter(waiter => waiter.request.running === undefined).length
+    if (ahead === 0) {
       const backend = this.#tryPlace(request)
       if (backend !== undefined) return { kind: 'placed', backend }
     }
     if (this.#isPausedTooLong(request)) return this.#refusal('paused', request.service, request.call)
     if (request.call.latestStartMs < nowMs()) return this.#refusal('too_late', request.service, request.call)
     if (this.#limitedPerSecond.has(request.service)) metrics.heldBack.inc({ service: request.service })
-    if (!this.#hasRoom(request, waiters.length)) return this.#refusal('queue_full', request.service, request.call)
+    if (!this.#hasRoom(request, ahead)) return this.#refusal('queue_full', request.service, request.call)
     return await new Promise(resolve => {
       const waiter: Waiter = {
         ...request.call,
