gateway: a response that arrives while a further attempt is delayed is not held up

Found by reading the change: after a refusal the next attempt is delayed by 15 ms. If the attempt that still ran responded or ended meanwhile, a place for another one was awaited first, with nothing to end the wait. What has ended is handled first now, and no other attempt is looked for while one is heard. No test brings these 15 ms about; attempts-review.spec.ts and silent-streams.spec.ts pass as before (19 of 20, one listed).

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -17,6 +17,7 @@
 
 /** A connection within a region opens within a few ms; a lost first packet is retransmitted only after a second. */
 const CONNECT_TIMEOUT_MS = 300
+
 export interface AttemptOptions {
   /** Sum of prompt and expected output tokens. */
   tokens: number
--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -58,12 +58,15 @@
 async function offerUntilDone (offer: Offer): Promise<void> {
   const { call, running } = offer
   for (;;) {
-    const found = await findPlace(offer)
-    if (found.kind === 'placed') startAttempt(offer, found)
-    else if (running.isIdle) {
-      found.endCall()
-      return
-    } else call.retries.close()
+    // While a further attempt was delayed, what runs may have responded or ended.
+    if (running.wantsAnother) {
+      const found = await findPlace(offer)
+      if (found.kind === 'placed') startAttempt(offer, found)
+      else if (running.isIdle) {
+        found.endCall()
+        return
+      } else call.retries.close()
+    }
     const next = await untilNextStep(offer)
     if (next === 'done') return
     if (next === 'again_later') await timers.setTimeout(OFFER_RETRY_DELAY_MS)
--- a/src/coordination/gateway/running-attempts.ts
+++ b/src/coordination/gateway/running-attempts.ts
@@ -54,10 +54,16 @@
     return this.#running.size === 0 && this.#events.length === 0
   }
 
+  /** Whether all that run have been silent for long; true if nothing runs. */
   get areOverdue (): boolean {
     return [...this.#running].every(running => running.isOverdue())
   }
 
+  /** Whether no outcome is still to be handled, and nothing that runs has been heard lately. */
+  get wantsAnother (): boolean {
+    return this.areOverdue && this.#events.every(({ kind }) => kind === 'overdue')
+  }
+
   /** Backend servers that run the request. */
   get backendIds (): string[] {
     return [...this.#running].map(running => running.backend.row.id)
