--- a/playground/cluster.ts
+++ b/playground/cluster.ts
@@ -39,6 +39,8 @@
   sourceAddresses?: Record<string, string>
   /** Mean time between two snapshots that an entry writes to the object store; undefined disables the object store. */
   snapshotPeriodMs?: number
+  /** Limits of entries and agents. */
+  processLimits?: { nodeFlags: string[], env: Record<string, string>, maxDescriptors: number }
 }
 
 export interface EntryNode {
@@ -196,8 +198,15 @@
   }
 
   #startEntryProcess (host: string, failureDomain: string, flags: string[]): Promise<processRunner.RunningProcess> {
-    return processRunner.startProcess(
-      host, this.options.entryProgram ?? ENTRY_PROGRAM, flags, this.options.sourceAddresses?.[failureDomain])
+    const { entryProgram = ENTRY_PROGRAM, sourceAddresses } = this.options
+    return this.#startLimited(host, entryProgram, flags, sourceAddresses?.[failureDomain])
+  }
+
+  #startLimited (
+    host: string, program: string, flags: string[], sourceAddress?: string
+  ): Promise<processRunner.RunningProcess> {
+    const { nodeFlags, env, maxDescriptors } = this.options.processLimits ?? {}
+    return processRunner.startProcess(host, program, flags, sourceAddress, nodeFlags, env, maxDescriptors)
   }
 
   #snapshotFlags (): string[] {
@@ -225,7 +234,7 @@
       kind === 'model' ? '--models' : '--services', name,
       '--drain-timeout-ms', String(this.options.drainTimeoutMs ?? 0), ...(this.options.agentFlags ?? []), ...flags
     ]
-    const agent = await processRunner.startProcess(host, AGENT_PROGRAM, agentFlags)
+    const agent = await this.#startLimited(host, AGENT_PROGRAM, agentFlags)
     agentProxy?.setTarget(agent.ready['listening'] as string)
     const node: BackendNode = {
       agent,
@@ -247,7 +256,7 @@
 
   /** Starts a new process for an agent whose process has ended. */
   async restartAgent (node: BackendNode): Promise<void> {
-    node.agent = await processRunner.startProcess(node.host, AGENT_PROGRAM, node.agentFlags)
+    node.agent = await this.#startLimited(node.host, AGENT_PROGRAM, node.agentFlags)
     node.agentAddress = node.agent.ready['address'] as string
     node.agentProxy?.setTarget(node.agent.ready['listening'] as string)
   }
--- a/playground/process-runner.ts
+++ b/playground/process-runner.ts
@@ -41,15 +41,16 @@
  * @param program path relative to the build output, such as `src/bin/bulrush-entry.js`.
  * @param sourceAddress loopback address that the process connects from; if empty, the system chooses it.
  * @param nodeFlags flags of the runtime, before the program.
+ * @param maxDescriptors limit on open descriptors; undefined for that of this process.
  * @throws if the program ends or is not ready in time, with the end of its error output.
  */
 export async function startProcess (
   name: string, program: string, args: string[], sourceAddress = '', nodeFlags: readonly string[] = [],
-  env: Record<string, string> = {}
+  env: Record<string, string> = {}, maxDescriptors?: number
 ): Promise<RunningProcess> {
   const flags = sourceAddress === '' ? [] : preloadFlags(SOURCE_MODULE)
   const allEnv = { SOURCE_ADDRESS: sourceAddress, ...env }
-  const launched = launchProcess(name, program, args, [...nodeFlags, ...flags], allEnv)
+  const launched = launchProcess(name, program, args, [...nodeFlags, ...flags], allEnv, maxDescriptors)
   const ready = await launched.whenReady.catch((error: unknown) => {
     launched.kill('SIGKILL')
     throw error
@@ -64,9 +65,14 @@
 
 /** Starts a program and doesn't wait for it; `whenReady` rejects if it ends first or is not ready in time. */
 export function launchProcess (
-  name: string, program: string, args: string[], nodeFlags: readonly string[] = [], env: Record<string, string> = {}
+  name: string, program: string, args: string[], nodeFlags: readonly string[] = [], env: Record<string, string> = {},
+  maxDescriptors?: number
 ): LaunchedProcess {
-  const child = childProcess.spawn(process.execPath, [...nodeFlags, path.join(PROGRAM_ROOT, program), ...args], {
+  const command = [process.execPath, ...nodeFlags, path.join(PROGRAM_ROOT, program), ...args]
+  // The shell is replaced by the program, which so has the limit as its own.
+  const limit = maxDescriptors === undefined ? [] : ['/bin/sh', '-c', `ulimit -n ${maxDescriptors} && exec "$0" "$@"`]
+  const [file, ...fileArgs] = [...limit, ...command]
+  const child = childProcess.spawn(file!, fileArgs, {
     stdio: ['ignore', 'pipe', 'pipe'],
     env: { PATH: process.env['PATH'], ...env }
   })
