transport: pass the HTTP parser one request of a connection at a time

What callers saw: beside a few clients that sent requests ahead without reading the answers, or bodies in very small chunks, the process ended for lack of memory or served nobody else. One whole body of 4 MB in chunks of one byte, with no crowd beside it, ended it as well.

Cause: Node's parser took the bytes of a connection itself, 64 kB at a time.

Change: ClientSocket stands between the socket and the parser, as a stream that is given to the HTTP server. It passes on one head at a time and no further one before the response has ended, reads no more than the socket's buffer meanwhile, decodes chunks at a cost that follows their bytes and passes them on joined, and drops what follows a final response. Work that a connection still has after 32 kB waits for the next turn of the event loop, which does it for 5 ms at most. Heads, lengths and trailer fields are judged by the parser as before; if it and the socket disagree about the end of a request, the connection ends. Requests without a host or with an unknown expectation, which Node answers itself and doesn't report, are refused in the same place.

--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -5,11 +5,12 @@
 
 import * as http from 'node:http'
 import type * as net from 'node:net'
+import * as clientSocket from './client-socket.js'
 
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void
 
 /** Why the server itself refuses what arrives on a connection. */
-export type ConnectionFault = 'too_slow' | 'head_too_large' | 'malformed'
+export type ConnectionFault = 'too_slow' | 'head_too_large' | 'malformed' | 'unknown_expectation'
 
 /** Time for a client to read the last response before its connection is closed with bytes that were not read. */
 const LINGER_MS = 1_000
@@ -29,11 +30,25 @@
 export function createServer (
   options: http.ServerOptions, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string = bareRefusal
 ): http.Server {
-  // Handlers limit the time of a body, since only they know whether its request has been passed on.
-  const server = http.createServer({ ...options, requestTimeout: 0 })
+  // Handlers limit the time of a body, since only they know whether its request has been passed on. Requests without a
+  // host are refused here, since Node reports none that it refuses itself.
+  const server = http.createServer({ ...options, requestTimeout: 0, requireHostHeader: false })
   const connections = new WeakMap<net.Socket, ClientConnection>()
-  server.on('connection', socket => { connections.set(socket, new ClientConnection(server, socket, handler, refusalOf)) })
-  server.on('request', (request, response) => { connections.get(request.socket)?.receive({ request, response }) })
+  const [accept] = server.listeners('connection')
+  server.removeAllListeners('connection')
+  server.on('connection', (raw: net.Socket) => {
+    const socket = new clientSocket.ClientSocket(raw, () => { connection.refuse('malformed') })
+    const connection = new ClientConnection(server, socket, handler, refusalOf)
+    connections.set(socket as unknown as net.Socket, connection)
+    accept!.call(server, socket)
+  })
+  server.on('request', (request, response) => {
+    const isHostMissing = request.httpVersion === '1.1' && request.headers.host === undefined
+    connections.get(request.socket)?.receive({ request, response }, isHostMissing ? 'malformed' : undefined)
+  })
+  server.on('checkExpectation', (request, response) => {
+    connections.get(request.socket)?.receive({ request, response }, 'unknown_expectation')
+  })
   server.on('timeout', socket => { connections.get(socket)?.noteIdle() })
   server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
     if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') connections.get(socket)?.noteSlow()
@@ -46,7 +61,8 @@
 const STATUS_LINES: Record<ConnectionFault, string> = {
   too_slow: '408 Request Timeout',
   head_too_large: '431 Request Header Fields Too Large',
-  malformed: '400 Bad Request'
+  malformed: '400 Bad Request',
+  unknown_expectation: '417 Expectation Failed'
 }
 
 /** A response that states `Connection: close`. */
@@ -72,22 +88,21 @@
 
 class ClientConnection {
   readonly #server: http.Server
-  readonly #socket: net.Socket
+  readonly #socket: clientSocket.ClientSocket
   readonly #handler: RequestHandler
   readonly #refusalOf: (fault: ConnectionFault) => string
   readonly #openedAtMs = performance.now()
   /** The request that is being served. */
   #current: Exchange | undefined
-  /** Requests that were sent before the response to an earlier one. */
-  readonly #waiting: Exchange[] = []
   /** The request whose head was read last. */
   #latest: Exchange | undefined
-  /** What is sent once the requests before the fault are answered. */
+  /** What is sent once the request before the fault is answered. */
   #lastWords: string | undefined
   #timer: NodeJS.Timeout | undefined
 
   constructor (
-    server: http.Server, socket: net.Socket, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string
+    server: http.Server, socket: clientSocket.ClientSocket, handler: RequestHandler,
+    refusalOf: (fault: ConnectionFault) => string
   ) {
     this.#server = server
     this.#socket = socket
@@ -95,50 +110,41 @@
     this.#refusalOf = refusalOf
     // Called by Node after a response that states `Connection: close`. Its own method destroys the socket, so that
     // unread bytes of the client reset the connection, and the response is lost.
-    socket.destroySoon = () => { this.#linger() }
+    Object.assign(socket, { destroySoon: () => { this.#linger() } })
     socket.once('end', () => { this.#noteClientEnd() })
     socket.once('close', () => { clearTimeout(this.#timer) })
   }
 
-  receive (exchange: Exchange): void {
-    if (this.#lastWords !== undefined || !this.#socket.writable) {
-      exchange.request.resume()
-      return
-    }
+  receive (exchange: Exchange, fault: ConnectionFault | undefined): void {
+    const { request } = exchange
+    if (this.#lastWords !== undefined || !this.#socket.writable) return
+    this.#socket.beginRequest({ framing: framingOf(request), isComplete: () => request.complete })
     this.#latest = exchange
-    if (this.#current === undefined) this.#serve(exchange)
-    else this.#waiting.push(exchange)
+    if (fault === undefined) this.#serve(exchange)
+    else this.refuse(fault)
   }
 
   #serve (exchange: Exchange): void {
     this.#current = exchange
     exchange.response.once('close', () => {
       this.#current = undefined
-      this.#serveNext()
-      const isKept = this.#socket.writable
-      if (isKept && !exchange.request.complete) {
-        this.#setTimer(UNREAD_BODY_MS, () => { this.#closeUnread(exchange.request) })
-      }
+      if (this.#socket.writable && this.#lastWords !== undefined) this.#end(this.#lastWords)
+      if (!this.#socket.writable) return
+      // A response with `Connection: close` has ended the connection.
+      this.#socket.endResponse()
+      if (!exchange.request.complete) this.#setTimer(UNREAD_BODY_MS, () => { this.#closeUnread(exchange.request) })
     })
     this.#handler(exchange.request, exchange.response)
   }
 
-  #serveNext (): void {
-    // A response with `Connection: close` has ended the connection.
-    const next = this.#socket.writable ? this.#waiting.shift() : undefined
-    if (next !== undefined) this.#serve(next)
-    else if (this.#lastWords !== undefined) this.#end(this.#lastWords)
-  }
-
-  /** Answers what can't be read, after the requests before it, and closes the connection. */
+  /** Answers what can't be read, after the request before it, and closes the connection. */
   refuse (fault: ConnectionFault): void {
     if (this.#lastWords !== undefined || !this.#socket.writable) return
     this.#lastWords = this.#refusalOf(fault)
     const latest = this.#latest
     if (latest !== undefined && !latest.request.complete) {
       // The fault is in the body of this request.
-      if (this.#waiting.at(-1) === latest) this.#waiting.pop()
-      else if (latest.response.headersSent) this.#lastWords = ''
+      if (latest.response.headersSent) this.#lastWords = ''
       else {
         this.#end(this.#lastWords)
         return
@@ -164,12 +170,12 @@
     const bytesBefore = this.#socket.bytesRead
     let [lastBytes, lastBytesAtMs] = [bytesBefore, startedAtMs]
     this.#socket.end()
-    this.#latest?.request.resume()
+    this.#socket.discard()
     const check = (): void => {
       const nowMs = performance.now()
       const { bytesRead } = this.#socket
       if (bytesRead !== lastBytes) [lastBytes, lastBytesAtMs] = [bytesRead, nowMs]
-      const isBodyOpen = this.#latest?.request.complete === false && nowMs - lastBytesAtMs < UNREAD_IDLE_MS
+      const isBodyOpen = this.#socket.isBodyOpen && nowMs - lastBytesAtMs < UNREAD_IDLE_MS
       const limitMs = isBodyOpen ? UNREAD_BODY_MS : LINGER_MS
       if (nowMs - startedAtMs > limitMs || bytesRead - bytesBefore > MAX_DISCARDED_BYTES) this.#socket.destroy()
       else this.#setTimer(LINGER_CHECK_MS, check)
@@ -187,10 +193,11 @@
    */
   noteSlow (latest = this.#latest): void {
     const bytesBefore = this.#socket.bytesRead
+    const hadUnpassed = this.#socket.unpassedBytes > 0
     setImmediate(() => {
       if (this.#latest !== latest) return
       if (this.#socket.bytesRead === 0) this.#closeUnused()
-      else if (this.#socket.bytesRead !== bytesBefore) {
+      else if (hadUnpassed || this.#socket.bytesRead !== bytesBefore) {
         this.#setTimer(this.#server.headersTimeout, () => { this.noteSlow(latest) })
       } else this.refuse('too_slow')
     })
@@ -215,3 +222,10 @@
     this.#timer = setTimeout(onTimeout, delayMs).unref()
   }
 }
+
+function framingOf ({ headers }: http.IncomingMessage): clientSocket.BodyFraming {
+  // The parser accepts no other coding of a request.
+  if (headers['transfer-encoding'] !== undefined) return { kind: 'chunked' }
+  const sizeBytes = Number(headers['content-length'] ?? 0)
+  return sizeBytes === 0 ? { kind: 'none' } : { kind: 'length', sizeBytes }
+}
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -63,6 +63,7 @@
     case 'head_too_large': return { status: 431, detail: `headers exceed ${MAX_HEADER_BYTES} bytes` }
     case 'too_slow': return { status: 408, detail: 'the request did not arrive in time' }
     case 'malformed': return { status: 400, detail: 'the request is not valid HTTP/1.1' }
+    case 'unknown_expectation': return { status: 417, detail: 'expect: only 100-continue is supported' }
   }
 }
 
