gateway: reject a request without a route or key before its body

What callers saw: 40 clients whose bodies of 4 MB went to no route and stopped short of their end took 220 MB of an entry on a host of 160 MB.

Cause: an entry read a whole body before it looked for the route and the key, and waited for it until the client's own deadline.

Change: route and key are looked up with the head, and again once the body is there, since the configuration may have changed. A body is awaited until the timeout of its route at most; after that the request could only be refused.

--- a/src/coordination/gateway/read-body.ts
+++ b/src/coordination/gateway/read-body.ts
@@ -10,12 +10,16 @@
   | { kind: 'too_slow' }
   | { kind: 'aborted' }
 
+/** Whether the length that a client states is over the limit. */
+export function isDeclaredTooLarge (request: http.IncomingMessage, maxBytes: number): boolean {
+  return Number(request.headers['content-length'] ?? 0) > maxBytes
+}
+
 /** @param signal aborted when the client leaves or the process is about to exit. */
 export async function readBody (
   request: http.IncomingMessage, maxBytes: number, timeoutMs: number, signal: AbortSignal
 ): Promise<BodyResult> {
-  const declaredBytes = Number(request.headers['content-length'] ?? 0)
-  if (declaredBytes > maxBytes) return { kind: 'too_large' }
+  if (isDeclaredTooLarge(request, maxBytes)) return { kind: 'too_large' }
   return await new Promise(resolve => {
     const chunks: Buffer[] = []
     let sizeBytes = 0
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -36,8 +36,19 @@
     reply.refuse('no_configuration', waitQueue.retryAfterMs(undefined, remainingMs, ctx.random()))
     return
   }
-  const limits = routing.configuration.limits
-  const body = await readBody.readBody(request, limits.maxBodyBytes, remainingMsOf(head), signal)
+  const { maxBodyBytes } = routing.configuration.limits
+  if (readBody.isDeclaredTooLarge(request, maxBodyBytes)) {
+    reply.reject(413, 'body_too_large')
+    return
+  }
+  const target = findTarget(routing, request, head)
+  if (target.kind === 'rejected') {
+    reply.reject(target.status, target.reason)
+    return
+  }
+  // A request whose body is not there by the route's timeout can't be served any more.
+  const timeoutMs = Math.min(remainingMsOf(head), target.route.timeoutMs)
+  const body = await readBody.readBody(request, maxBodyBytes, timeoutMs, signal)
   if (body.kind === 'aborted') {
     callEnd.endAborted(signal, reply, false, 'before the request was complete')
     return
@@ -83,17 +94,41 @@
   signal: AbortSignal
 }
 
-type Admission =
-  | { kind: 'admitted', call: callModule.Call }
-  | { kind: 'rejected', status: number, reason: string }
+interface Rejection {
+  kind: 'rejected'
+  status: number
+  reason: string
+}
 
-function admit (ctx: context.GatewayContext, routing: routingTable.RoutingTable, received: ReceivedRequest): Admission {
-  const { request, head, arrivedAtMs } = received
+interface Target {
+  kind: 'target'
+  route: routingTable.Route
+  /** Undefined for a public route. */
+  team: routingTable.Team | undefined
+}
+
+/** What the head of a request says about where it goes. */
+function findTarget (
+  routing: routingTable.RoutingTable, request: http.IncomingMessage, head: callCodec.CallHead
+): Target | Rejection {
   const path = (request.url ?? '/').split('?')[0]!
   const route = routingTable.findRoute(routing, request.headers.host ?? '', path)
   if (route === undefined) return { kind: 'rejected', status: 404, reason: 'no_route' }
   const team = routingTable.findTeam(routing, route, head.key)
   if (team.kind === 'unknown_key') return { kind: 'rejected', status: 401, reason: 'unknown_key' }
+  return { kind: 'target', route, team: team.kind === 'team' ? team.team : undefined }
+}
+
+type Admission =
+  | { kind: 'admitted', call: callModule.Call }
+  | Rejection
+
+/** @param routing the configuration may have changed while the body arrived. */
+function admit (ctx: context.GatewayContext, routing: routingTable.RoutingTable, received: ReceivedRequest): Admission {
+  const { request, head, arrivedAtMs } = received
+  const target = findTarget(routing, request, head)
+  if (target.kind === 'rejected') return target
+  const { route, team } = target
   const service = routingTable.chooseTarget(route, ctx.random())
   if (service === undefined) return { kind: 'rejected', status: 502, reason: 'route_without_service' }
   const clientDeadlineAtMs = arrivedAtMs + remainingMsOf(head)
@@ -105,8 +140,8 @@
       route,
       service,
       engine: routing.services.get(service)?.engine,
-      team: team.kind === 'team' ? team.team.name : undefined,
-      priority: (team.kind === 'team' ? team.team.priority : undefined) ?? route.priority,
+      team: team?.name,
+      priority: team?.priority ?? route.priority,
       deadlineAtMs: Math.min(clientDeadlineAtMs, arrivedAtMs + route.timeoutMs) - RESPONSE_TRANSIT_MS,
       clientDeadlineAtMs,
       features: featuresOf(received, service),
