transport: hold the bodies of all clients within the memory of the host

What callers saw: bodies that stopped short of their end, or whose requests waited for a backend server, took whatever memory their number came to (220 and 384 MB on a host of 160 MB with 40 clients, 344 MB in the product's entry and agent). The platform ends a process beyond its host's memory, with all requests.

Cause: each body had a limit and their sum had none. Each chunk was a buffer of its own, and joining them held a body twice.

Change: one pool counts what each connection makes the process hold. A part of the host's memory (a fifth) is for clients; a quarter of it is divided among the connections that there may be, and the rest is shared. When the shared part is used up, the connection that holds most is refused with 503 if its body is being read, which is true since it hasn't been passed on, and closed otherwise. A request that is served keeps its body. Small pieces are copied together, and a body is passed on in its pieces.

--- a/src/coordination/__tests__/backend-gate.spec.ts
+++ b/src/coordination/__tests__/backend-gate.spec.ts
@@ -7,6 +7,7 @@
 import * as backendClient from '../../transport/backend-client.js'
 import * as concurrencyLimit from '../../state/concurrency-limit.js'
 import * as httpServer from '../../transport/http-server.js'
+import * as clientPool from '../../../standins/client-pool.js'
 
 const agentIncarnation = 'b'.repeat(32)
 const entryIncarnation = 'a'.repeat(32)
@@ -37,6 +38,7 @@
   const agent = await httpServer.listen({
     address: '127.0.0.1:0',
     signal: ended.signal,
+    pool: clientPool.createRoomyPool(ended.signal),
     handler: (request, response) => {
       const resolved = /^\/attempts\/([^/]+)\/resolve/.exec(request.url!)
       const handled = resolved === null
--- a/src/coordination/agent.ts
+++ b/src/coordination/agent.ts
@@ -5,6 +5,7 @@
 import type * as http from 'node:http'
 import * as agentReporter from './agent-reporter.js'
 import * as backendGate from './backend-gate.js'
+import * as clientGuard from './client-guard.js'
 import * as crashDetector from './crash-detector.js'
 import * as drainModule from './drain.js'
 import * as environment from './environment.js'
@@ -107,9 +108,11 @@
     env.log.emit('backendCrashed', { backendAddress: options.backendAddress, running: crash.fingerprints.length })
     reporter.reportCrash(crash)
   })
+  const clients = clientGuard.createClientGuard(options, clientGuard.statsdReport(env), signal)
   const server = await httpServer.listen({
     address: options.listen,
     signal,
+    pool: clients,
     handler: (request, response) => {
       openResponses += 1
       response.once('close', () => { openResponses -= 1 })
--- a/src/coordination/backend-gate.ts
+++ b/src/coordination/backend-gate.ts
@@ -96,8 +96,8 @@
     if (body.kind === 'aborted') return
     const refusal = id === undefined
       ? outcomes.refuse('invalid_request', 400, 'not_run', `${headers.agentHeaders.attempt}: expected an attempt id`)
-      : body.kind !== 'ok' ? httpServer.bodyRefusal(body, MAX_BODY_BYTES) : begin(request, id)
-    if (refusal !== undefined || id === undefined || body.kind !== 'ok') {
+      : body.kind !== 'whole' ? httpServer.bodyRefusal(body, MAX_BODY_BYTES) : begin(request, id)
+    if (refusal !== undefined || id === undefined || body.kind !== 'whole') {
       if (refusal !== undefined) {
         env.log.emit('attemptRefused', { requestId, attemptId, reason: refusal.reason, outcome: refusal.outcome })
         problem.sendProblem(response, refusal, requestId)
@@ -118,7 +118,7 @@
     running.set(attemptId, fingerprint)
     let isComplete = false
     try {
-      isComplete = await run(request, response, id, body.body, arrivedAtMs)
+      isComplete = await run(request, response, id, body.body.concat(), arrivedAtMs)
     } finally {
       if (entered === 'alone') isolation.leave(fingerprint, isComplete)
       running.delete(attemptId)
--- a/src/coordination/call-handler.ts
+++ b/src/coordination/call-handler.ts
@@ -79,9 +79,9 @@
     }
     const body = await httpServer.readBody(request, MAX_BODY_BYTES)
     if (body.kind === 'aborted') return
-    if (body.kind !== 'ok') return fail(httpServer.bodyRefusal(body, MAX_BODY_BYTES))
+    if (body.kind !== 'whole') return fail(httpServer.bodyRefusal(body, MAX_BODY_BYTES))
     const parsed = call.parseCall({
-      requestId, method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, body: body.body
+      requestId, method: request.method ?? 'GET', url: request.url ?? '/', headers: request.headers, body: body.body.concat()
     }, team, env.nowMs())
     if (parsed.kind === 'refused') return fail(parsed)
     const late = parts.window.refusalOf(parsed.call)
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -15,6 +15,7 @@
 import * as callWindow from './call-window.js'
 import * as claimSharing from './claim-sharing.js'
 import * as claimStore from './claim-store.js'
+import * as clientGuard from './client-guard.js'
 import * as configurationGuard from './configuration-guard.js'
 import * as configurationPeers from './configuration-peers.js'
 import * as configurationSync from './configuration-sync.js'
@@ -128,9 +129,11 @@
   // The listeners are opened first, because the identity contains their addresses; requests wait for the rest.
   let markStarted = (): void => {}
   const started = new Promise<void>(resolve => { markStarted = resolve })
+  const clients = clientGuard.createClientGuard(options, clientGuard.statsdReport(env), signal)
   const callerServer = await httpServer.listen({
     address: options.listen,
     signal,
+    pool: clients,
     handler: (request, response) => { started.then(() => handle(request, response)).catch(onBroken) }
   })
   const peerListening = await peerServer.listenForPeers({
--- a/src/coordination/gateway/backend-call.ts
+++ b/src/coordination/gateway/backend-call.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as answerEnd from '../../transport/answer-end.js'
+import type * as heldBytes from '../../transport/held-bytes.js'
 
 export interface BackendCallOptions {
   /** IP address and port. */
@@ -13,7 +14,7 @@
   path: string
   /** Alternating names and values, without connection and length headers. */
   headers: string[]
-  body: Buffer
+  body: heldBytes.HeldBytes
   connectTimeoutMs: number
   /** Aborts the call and closes the connection. */
   signal: AbortSignal
@@ -64,7 +65,9 @@
       // Has no effect after a response, since the promise is settled.
       resolve({ kind: 'broken', reason: 'the connection was closed' })
     })
-    request.end(options.body)
+    const { pieces } = options.body
+    for (const piece of pieces.slice(0, -1)) request.write(piece)
+    request.end(pieces.at(-1))
   })
 }
 
@@ -86,7 +89,7 @@
 }
 
 function headersWithLength (options: BackendCallOptions): string[] {
-  const hasBody = options.body.length > 0 || !['GET', 'HEAD', 'DELETE', 'OPTIONS'].includes(options.method)
-  const length = hasBody ? ['Content-Length', String(options.body.length)] : []
+  const hasBody = options.body.sizeBytes > 0 || !['GET', 'HEAD', 'DELETE', 'OPTIONS'].includes(options.method)
+  const length = hasBody ? ['Content-Length', String(options.body.sizeBytes)] : []
   return [...options.headers, ...length, 'Connection', 'close']
 }
--- a/src/coordination/gateway/call.ts
+++ b/src/coordination/gateway/call.ts
@@ -6,6 +6,7 @@
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as crashSuspects from '../../state/crash-suspects.js'
 import type * as routingTable from '../../state/routing-table.js'
+import type * as heldBytes from '../../transport/held-bytes.js'
 import type * as retries from './retries.js'
 
 /** An admitted request. */
@@ -15,7 +16,7 @@
   request: http.IncomingMessage
   response: http.ServerResponse
   head: callCodec.CallHead
-  body: Buffer
+  body: heldBytes.HeldBytes
   route: routingTable.Route
   service: string
   engine: routingTable.EngineModel | undefined
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -13,6 +13,7 @@
 import * as bufferBudget from '../../transport/buffer-budget.js'
 import * as clientConnections from '../../transport/client-connections.js'
 import * as metricsServer from '../../transport/metrics-server.js'
+import * as clientGuard from '../client-guard.js'
 import * as membershipRow from '../cluster/membership-row.js'
 import * as peerLinks from '../cluster/peer-links.js'
 import * as sharedDocuments from '../cluster/shared-documents.js'
@@ -31,6 +32,7 @@
 import type * as platformSettings from '../../protocol/platform-settings.js'
 import type * as routingTable from '../../state/routing-table.js'
 import type * as runtime from '../runtime.js'
+import type * as clientPool from '../../transport/client-pool.js'
 import type * as context from './context.js'
 
 /** Multiple of the address lifetime after which clients have left; some cache an answer three times as long. */
@@ -61,6 +63,7 @@
   readonly #context: context.GatewayContext
   #clientServer: http.Server | undefined
   readonly #shutdown: shutdown.Shutdown
+  readonly #clients: clientPool.ClientPool
 
   constructor (
     options: platformSettings.EntryOptions, adapter: platformAdapter.PlatformAdapter, env: runtime.Runtime,
@@ -70,6 +73,7 @@
     this.#adapter = adapter
     this.#env = env
     this.#signal = signal
+    this.#clients = clientGuard.createClientGuard(options, clientGuard.textReport(env), signal)
     this.#pool = backendPool.createPool({ drainTimeoutMs: options.drainTimeoutMs })
     this.#documents = new sharedDocuments.SharedDocuments({
       runtime: env,
@@ -328,8 +332,10 @@
     address: string, handler: (request: http.IncomingMessage, response: http.ServerResponse) => void
   ): Promise<http.Server> {
     const server = clientConnections.createServer({
-      maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000, noDelay: true
-    }, handler)
+      http: { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000, noDelay: true },
+      handler,
+      pool: this.#clients
+    })
     const [host, port] = address.split(':')
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject)
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -6,14 +6,15 @@
 import type * as http from 'node:http'
 import * as routingTable from '../../state/routing-table.js'
 import * as waitQueue from '../../state/wait-queue.js'
+import * as requestBody from '../../transport/request-body.js'
 import * as callModule from './call.js'
 import * as callEnd from './call-end.js'
 import * as offerCall from './offer-call.js'
-import * as readBody from './read-body.js'
 import * as retries from './retries.js'
 import * as replies from './reply.js'
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as crashSuspects from '../../state/crash-suspects.js'
+import type * as heldBytes from '../../transport/held-bytes.js'
 import type * as context from './context.js'
 
 /** Time reserved before the client's deadline for the response to reach the client. */
@@ -37,7 +38,7 @@
     return
   }
   const { maxBodyBytes } = routing.configuration.limits
-  if (readBody.isDeclaredTooLarge(request, maxBodyBytes)) {
+  if (requestBody.isDeclaredTooLarge(request, maxBodyBytes)) {
     reply.reject(413, 'body_too_large')
     return
   }
@@ -48,7 +49,7 @@
   }
   // A request whose body is not there by the route's timeout can't be served any more.
   const timeoutMs = Math.min(remainingMsOf(head), target.route.timeoutMs)
-  const body = await readBody.readBody(request, maxBodyBytes, timeoutMs, signal)
+  const body = await requestBody.readBody(request, { maxBytes: maxBodyBytes, timeoutMs, signal })
   if (body.kind === 'aborted') {
     callEnd.endAborted(signal, reply, false, 'before the request was complete')
     return
@@ -61,6 +62,11 @@
     reply.reject(408, 'body_too_slow')
     return
   }
+  if (body.kind === 'no_memory') {
+    const remainingMs = arrivedAtMs + remainingMsOf(head) - ctx.nowMs()
+    reply.refuse('no_memory', waitQueue.retryAfterMs(undefined, remainingMs, ctx.random()))
+    return
+  }
   const admission = admit(ctx, ctx.routing() ?? routing, {
     request, response, head, body: body.body, arrivedAtMs, signal
   })
@@ -89,7 +95,7 @@
   request: http.IncomingMessage
   response: http.ServerResponse
   head: callCodec.CallHead
-  body: Buffer
+  body: heldBytes.HeldBytes
   arrivedAtMs: number
   signal: AbortSignal
 }
@@ -156,7 +162,7 @@
 function featuresOf ({ request, head, body }: ReceivedRequest, service: string): crashSuspects.Features {
   const hash = crypto.createHash('sha1')
     .update(`${head.key ?? ''} ${request.method ?? ''} ${request.url ?? ''} ${head.sharedPartIds.join()} `)
-    .update(body.subarray(0, HASHED_BODY_BYTES))
+    .update(body.first(HASHED_BODY_BYTES))
   return {
     request: `request ${hash.digest('base64url')}`,
     parts: [...new Set(head.sharedPartIds)].map(id => `part ${service} ${id}`)
--- a/src/coordination/operator-api.ts
+++ b/src/coordination/operator-api.ts
@@ -97,8 +97,8 @@
   ): Promise<configuration.ValidationResult | outcomes.Refusal> {
     const body = await httpServer.readBody(request, MAX_DOCUMENT_BYTES)
     if (body.kind === 'aborted') return outcomes.refuse('invalid_request', 400, 'not_run', 'body: broke off')
-    if (body.kind !== 'ok') return httpServer.bodyRefusal(body, MAX_DOCUMENT_BYTES)
-    const document = parseJson(body.body)
+    if (body.kind !== 'whole') return httpServer.bodyRefusal(body, MAX_DOCUMENT_BYTES)
+    const document = parseJson(body.body.concat())
     if (document.kind === 'invalid') return outcomes.refuse('invalid_request', 400, 'not_run', 'body: expected JSON')
     return parts.configuration.read(copy => configuration.validateDocument(kind, name, document.value, copy))
   }
--- a/src/coordination/operator-endpoints.ts
+++ b/src/coordination/operator-endpoints.ts
@@ -48,8 +48,8 @@
   async function announceStop (scope: stops.StopScope, name: string): Promise<EndpointResult> {
     const body = await httpServer.readBody(request, MAX_BODY_BYTES)
     if (body.kind === 'aborted') return invalid('body: broke off')
-    if (body.kind !== 'ok') return httpServer.bodyRefusal(body, MAX_BODY_BYTES)
-    const input = parseStopBody(body.body)
+    if (body.kind !== 'whole') return httpServer.bodyRefusal(body, MAX_BODY_BYTES)
+    const input = parseStopBody(body.body.concat())
     if (input === undefined) return invalid('body: expected JSON with reason (text) and confirmOverload (true or false)')
     const result = await parts.stops.announce({
       scope, name, operator: operatorOf(request), operationId: operationIdOf(request), ...input
--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -12,6 +12,7 @@
 import * as clientConnections from '../../transport/client-connections.js'
 import * as httpServer from '../../transport/http-server.js'
 import * as metricsServer from '../../transport/metrics-server.js'
+import * as clientGuard from '../client-guard.js'
 import * as membershipRow from '../cluster/membership-row.js'
 import * as peerLinks from '../cluster/peer-links.js'
 import * as sharedDocuments from '../cluster/shared-documents.js'
@@ -27,6 +28,7 @@
 import type * as rankControl from '../../protocol/rank-control.js'
 import type * as rankSwitch from '../../state/rank-switch.js'
 import type * as routingTable from '../../state/routing-table.js'
+import type * as clientPool from '../../transport/client-pool.js'
 import type * as runtime from '../runtime.js'
 
 /** The part of the platform's adapter that an agent uses. */
@@ -63,6 +65,7 @@
   readonly #env: runtime.Runtime
   readonly #signal: AbortSignal
   readonly #rank: rankControl.RankControl
+  readonly #clients: clientPool.ClientPool
   readonly #watch: rankWatch.RankWatch
   readonly #peers: peerLinks.PeerLinks
   readonly #documents: sharedDocuments.SharedDocuments
@@ -85,6 +88,7 @@
     this.#env = env
     this.#signal = signal
     this.#rank = adapter.rankAt(options.rankAddress)
+    this.#clients = clientGuard.createClientGuard(options, clientGuard.textReport(env), signal)
     this.#watch = new rankWatch.RankWatch({
       runtime: env,
       rank: this.#rank,
@@ -322,11 +326,15 @@
   }
 
   async #listen (): Promise<void> {
-    const server = clientConnections.createServer({ noDelay: true }, (request, response) => {
-      this.#handleRequest(request, response).catch((error: Error) => {
-        response.destroy()
-        this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
-      })
+    const server = clientConnections.createServer({
+      http: { noDelay: true },
+      handler: (request, response) => {
+        this.#handleRequest(request, response).catch((error: Error) => {
+          response.destroy()
+          this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
+        })
+      },
+      pool: this.#clients
     })
     const [host, port] = this.#options.peerAddress.split(':')
     await new Promise<void>((resolve, reject) => {
@@ -352,10 +360,10 @@
 }
 
 async function readCall (request: http.IncomingMessage): Promise<rankCall.SentRankCall | undefined> {
-  const body = await httpServer.readBody(request, MAX_CALL_BYTES)
-  if (body.kind !== 'ok') return undefined
+  const read = await httpServer.readBody(request, MAX_CALL_BYTES)
+  if (read.kind !== 'whole') return undefined
   try {
-    return rankCall.parseRankCall(JSON.parse(body.body.toString('utf8')))
+    return rankCall.parseRankCall(JSON.parse(read.body.concat().toString('utf8')))
   } catch {
     return undefined
   }
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -93,6 +93,7 @@
   crashCausesRead: { number: 2216, level: 'info', text: 'the store has features that entries blamed for crashes before this process started' },
   crashFeatureSound: { number: 2217, level: 'info', text: 'a response ended whole whose request shares features with those at crashes' },
   crashCauseRecurred: { number: 2218, level: 'warn', text: 'requests with a feature are refused because it recurs at crashes of backend servers' },
+  clientsGivenUp: { number: 2219, level: 'warn', text: 'connections of clients were closed, or their requests refused, to stay within the memory and descriptors of the host' },
   requestFault: { number: 2215, level: 'error', text: 'an unexpected error ended the handling of a request' },
   peerHeard: { number: 3101, level: 'info', text: 'the first message of a peer was received' },
   peerSendFailed: { number: 3102, level: 'warn', text: 'a datagram to a peer could not be sent' },
--- a/src/protocol/metric-catalogue.ts
+++ b/src/protocol/metric-catalogue.ts
@@ -13,6 +13,11 @@
   'process.heap_bytes': { kind: 'gauge', text: 'used JavaScript heap, bytes' },
   'process.cpu_ms': { kind: 'counter', text: 'CPU time of the process, ms' },
   'process.loop_delay_ms': { kind: 'gauge', text: '99th percentile of the event loop\'s delay in the last period, ms' },
+  'process.client_connections': { kind: 'gauge', text: 'connections of clients at all listeners' },
+  'process.client_held_bytes': { kind: 'gauge', text: 'bytes held for clients: what they sent ahead, bodies, and responses that they have not taken' },
+  'process.clients_given_up': {
+    kind: 'counter', text: 'connections of clients that were closed, or whose request was refused, by `reason`: `memory`, `connections` or `stalled`'
+  },
   'entry.requests': { kind: 'counter', text: 'callers\' requests that ended, by `outcome`' },
   'entry.refused': { kind: 'counter', text: 'callers\' requests refused, by `reason`' },
   'entry.request_ms': { kind: 'timing', text: 'time from the arrival of a request to the end of its response, ms' },
--- a/src/protocol/platform-settings.ts
+++ b/src/protocol/platform-settings.ts
@@ -9,6 +9,7 @@
 
 /** Settings that entry and agent have in common. */
 const sharedSettings = {
+  fileDescriptors: settings.hostSettings.fileDescriptors,
   host: { flag: 'host', description: 'name of this host', schema: schemas.text },
   failureDomain: { flag: 'failure-domain', description: 'failure domain of this host', schema: schemas.text },
   peerAddress: { flag: 'peer-address', description: 'address for datagrams and calls from other processes of the system', schema: schemas.address },
@@ -24,6 +25,7 @@
 
 export const entrySettings = {
   ...sharedSettings,
+  memoryMb: { ...settings.hostSettings.memoryMb, fallback: '250' },
   clientAddress: { flag: 'client-address', description: 'address for client requests', schema: schemas.address },
   readinessAddress: { flag: 'readiness-address', description: 'address for the platform\'s readiness checks', schema: schemas.address },
   directoryAddress: { flag: 'directory-address', description: 'address for clients that ask where to connect', schema: schemas.address },
@@ -39,6 +41,7 @@
 
 export const agentSettings = {
   ...sharedSettings,
+  memoryMb: { ...settings.hostSettings.memoryMb, fallback: '128' },
   rankAddress: { flag: 'rank-address', description: 'address of the backend server beside this process', schema: schemas.address },
   rankTimeoutMs: { flag: 'rank-timeout-ms', description: 'timeout of calls to a rank, in ms', fallback: '150', schema: schemas.integer(10, 60_000) }
 } satisfies settings.SettingTable
--- a/src/protocol/settings.ts
+++ b/src/protocol/settings.ts
@@ -72,8 +72,15 @@
   return URL.canParse(text) && ['http:', 'https:'].includes(new URL(text).protocol)
 }
 
+/** Resources of the host that a program runs on. */
+export const hostSettings = {
+  memoryMb: { flag: 'memory-mb', description: 'memory of the process\'s host, in MB; bounds the connections of clients and what these make the process hold', fallback: '512', schema: schemas.number(16, 10_000_000) },
+  fileDescriptors: { flag: 'file-descriptors', description: 'number of descriptors that the process may open, 0 for the limit that the system states; bounds the connections of clients', fallback: '0', schema: schemas.number(0, 100_000_000) }
+} satisfies SettingTable
+
 /** Settings that every long-running program has. */
 export const commonSettings = {
+  ...hostSettings,
   listen: { flag: 'listen', description: 'address of the HTTP listener; port 0 selects a free port', fallback: '127.0.0.1:0', schema: schemas.address },
   advertise: {
     flag: 'advertise',
--- a/src/transport/__tests__/client-socket.spec.ts
+++ b/src/transport/__tests__/client-socket.spec.ts
@@ -3,6 +3,7 @@
 import * as timers from 'node:timers/promises'
 import * as fc from 'fast-check'
 import * as vitest from 'vitest'
+import * as clientPool from '../../../standins/client-pool.js'
 import * as clientConnections from '../client-connections.js'
 
 const { expect, test } = vitest
@@ -37,7 +38,8 @@
 const plain = createReader(handler => http.createServer(handler))
 // Without a listener, a connection is destroyed before the requests in front of the fault are read.
 plain.server.on('clientError', () => {})
-const guarded = createReader(handler => clientConnections.createServer({}, handler))
+const pool = clientPool.createRoomyPool(new AbortController().signal)
+const guarded = createReader(handler => clientConnections.createServer({ handler, pool }))
 
 /** The bytes of a connection, without a socket. */
 class Connection extends stream.Duplex {
--- a/src/transport/__tests__/early-answers.spec.ts
+++ b/src/transport/__tests__/early-answers.spec.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net'
 import * as vitest from 'vitest'
 import * as clientConnections from '../client-connections.js'
+import * as clientPool from '../../../standins/client-pool.js'
 import * as lateReader from '../../../standins/late-reader.js'
 
 const { afterEach, expect, test } = vitest
@@ -10,14 +11,18 @@
 const BODY_BYTES = 40_000_000
 
 let server: http.Server
+let controller: AbortController
 
 afterEach(() => {
+  controller.abort()
   server.closeAllConnections()
   server.close()
 })
 
 async function start (handler: clientConnections.RequestHandler): Promise<string> {
-  server = clientConnections.createServer({ keepAliveTimeout: 5_000 }, handler)
+  controller = new AbortController()
+  const pool = clientPool.createRoomyPool(controller.signal)
+  server = clientConnections.createServer({ http: { keepAliveTimeout: 5_000 }, handler, pool })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   return `127.0.0.1:${(server.address() as net.AddressInfo).port}`
 }
--- a/src/transport/__tests__/http-server.spec.ts
+++ b/src/transport/__tests__/http-server.spec.ts
@@ -2,6 +2,7 @@
 import * as vitest from 'vitest'
 import * as problem from '../../protocol/problem.js'
 import * as httpServer from '../http-server.js'
+import * as clientPool from '../../../standins/client-pool.js'
 
 const { afterEach, beforeEach, expect, test } = vitest
 
@@ -20,10 +21,11 @@
   listening = await httpServer.listen({
     address: '127.0.0.1:0',
     signal: controller.signal,
+    pool: clientPool.createRoomyPool(controller.signal),
     handler: (request, response) => {
       httpServer.readBody(request, LIMIT_BYTES, BODY_TIMEOUT_MS).then(async body => {
         if (body.kind === 'aborted') return
-        if (body.kind !== 'ok') {
+        if (body.kind !== 'whole') {
           problem.sendProblem(response, httpServer.bodyRefusal(body, LIMIT_BYTES), 'r')
           return
         }
--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -6,6 +6,9 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as clientSocket from './client-socket.js'
+import * as requestBody from './request-body.js'
+import type * as clientLimits from '../state/client-limits.js'
+import type * as clientPool from './client-pool.js'
 
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void
 
@@ -26,10 +29,17 @@
 /** Bytes that are discarded at most behind the last response of a connection. */
 export const MAX_DISCARDED_BYTES = 128_000_000
 
-/** @param refusalOf the whole response to a request that can't be read; it states `Connection: close`. */
-export function createServer (
-  options: http.ServerOptions, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string = bareRefusal
-): http.Server {
+export interface ServerOptions {
+  /** Options of Node's server. */
+  http?: http.ServerOptions
+  handler: RequestHandler
+  /** The whole response to a request that can't be read; it states `Connection: close`. */
+  refusalOf?: (fault: ConnectionFault) => string
+  /** Connections of all listeners of the process. */
+  pool: clientPool.ClientPool
+}
+
+export function createServer ({ http: options, handler, refusalOf = bareRefusal, pool }: ServerOptions): http.Server {
   // Handlers limit the time of a body, since only they know whether its request has been passed on. Requests without a
   // host are refused here, since Node reports none that it refuses itself.
   const server = http.createServer({ ...options, requestTimeout: 0, requireHostHeader: false })
@@ -37,10 +47,9 @@
   const [accept] = server.listeners('connection')
   server.removeAllListeners('connection')
   server.on('connection', (raw: net.Socket) => {
-    const socket = new clientSocket.ClientSocket(raw, () => { connection.refuse('malformed') })
-    const connection = new ClientConnection(server, socket, handler, refusalOf)
-    connections.set(socket as unknown as net.Socket, connection)
-    accept!.call(server, socket)
+    const connection = new ClientConnection(server, raw, handler, refusalOf, pool)
+    connections.set(connection.socket as unknown as net.Socket, connection)
+    accept!.call(server, connection.socket)
   })
   server.on('request', (request, response) => {
     const isHostMissing = request.httpVersion === '1.1' && request.headers.host === undefined
@@ -86,9 +95,9 @@
   response: http.ServerResponse
 }
 
-class ClientConnection {
+class ClientConnection implements clientPool.PooledConnection {
+  readonly socket: clientSocket.ClientSocket
   readonly #server: http.Server
-  readonly #socket: clientSocket.ClientSocket
   readonly #handler: RequestHandler
   readonly #refusalOf: (fault: ConnectionFault) => string
   readonly #openedAtMs = performance.now()
@@ -99,26 +108,51 @@
   /** What is sent once the request before the fault is answered. */
   #lastWords: string | undefined
   #timer: NodeJS.Timeout | undefined
+  readonly #holding: clientPool.Holding
+  #account: requestBody.BodyAccount | undefined
 
   constructor (
-    server: http.Server, socket: clientSocket.ClientSocket, handler: RequestHandler,
-    refusalOf: (fault: ConnectionFault) => string
+    server: http.Server, raw: net.Socket, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string,
+    pool: clientPool.ClientPool
   ) {
     this.#server = server
-    this.#socket = socket
     this.#handler = handler
     this.#refusalOf = refusalOf
+    this.socket = new clientSocket.ClientSocket(raw, {
+      onMalformed: () => { this.refuse('malformed') },
+      onHeld: (kind, bytes) => { this.#holding.hold(kind, bytes) }
+    })
     // Called by Node after a response that states `Connection: close`. Its own method destroys the socket, so that
     // unread bytes of the client reset the connection, and the response is lost.
-    Object.assign(socket, { destroySoon: () => { this.#linger() } })
-    socket.once('end', () => { this.#noteClientEnd() })
-    socket.once('close', () => { clearTimeout(this.#timer) })
+    Object.assign(this.socket, { destroySoon: () => { this.#linger() } })
+    this.socket.once('end', () => { this.#noteClientEnd() })
+    this.socket.once('close', () => {
+      clearTimeout(this.#timer)
+      this.#holding.close()
+    })
+    this.#holding = pool.open(this)
+  }
+
+  get standing (): clientLimits.Standing {
+    if (!this.socket.writable) return 'closing'
+    if (this.#current === undefined) return 'idle'
+    return this.#current.request.complete ? 'served' : 'reading'
+  }
+
+  giveUp (): void {
+    const account = this.#account
+    if (account?.onGivenUp === undefined || this.#current === undefined) {
+      this.socket.destroy()
+      return
+    }
+    this.#current.response.setHeader('Connection', 'close')
+    account.onGivenUp()
   }
 
   receive (exchange: Exchange, fault: ConnectionFault | undefined): void {
     const { request } = exchange
-    if (this.#lastWords !== undefined || !this.#socket.writable) return
-    this.#socket.beginRequest({ framing: framingOf(request), isComplete: () => request.complete })
+    if (this.#lastWords !== undefined || !this.socket.writable) return
+    this.socket.beginRequest({ framing: framingOf(request), isComplete: () => request.complete })
     this.#latest = exchange
     if (fault === undefined) this.#serve(exchange)
     else this.refuse(fault)
@@ -126,12 +160,16 @@
 
   #serve (exchange: Exchange): void {
     this.#current = exchange
+    this.#account = { hold: bytes => { this.#holding.hold('body', bytes) }, onGivenUp: undefined }
+    requestBody.countBody(exchange.request, this.#account)
     exchange.response.once('close', () => {
       this.#current = undefined
-      if (this.#socket.writable && this.#lastWords !== undefined) this.#end(this.#lastWords)
-      if (!this.#socket.writable) return
+      this.#account = undefined
+      this.#holding.hold('body', 0)
+      if (this.socket.writable && this.#lastWords !== undefined) this.#end(this.#lastWords)
+      if (!this.socket.writable) return
       // A response with `Connection: close` has ended the connection.
-      this.#socket.endResponse()
+      this.socket.endResponse()
       if (!exchange.request.complete) this.#setTimer(UNREAD_BODY_MS, () => { this.#closeUnread(exchange.request) })
     })
     this.#handler(exchange.request, exchange.response)
@@ -139,7 +177,7 @@
 
   /** Answers what can't be read, after the request before it, and closes the connection. */
   refuse (fault: ConnectionFault): void {
-    if (this.#lastWords !== undefined || !this.#socket.writable) return
+    if (this.#lastWords !== undefined || !this.socket.writable) return
     this.#lastWords = this.#refusalOf(fault)
     const latest = this.#latest
     if (latest !== undefined && !latest.request.complete) {
@@ -155,36 +193,36 @@
 
   /** A client that has left looks like one that has closed only its own direction; work for the former has to end. */
   #noteClientEnd (): void {
-    if (this.#current?.response.writableEnded === false) this.#socket.destroy()
+    if (this.#current?.response.writableEnded === false) this.socket.destroy()
   }
 
   #end (lastWords: string): void {
-    if (!this.#socket.writable) return
-    this.#socket.write(lastWords)
+    if (!this.socket.writable) return
+    this.socket.write(lastWords)
     this.#linger()
   }
 
   /** Ends the connection, but discards what the client still sends, until it has closed its direction. */
   #linger (): void {
     const startedAtMs = performance.now()
-    const bytesBefore = this.#socket.bytesRead
+    const bytesBefore = this.socket.bytesRead
     let [lastBytes, lastBytesAtMs] = [bytesBefore, startedAtMs]
-    this.#socket.end()
-    this.#socket.discard()
+    this.socket.end()
+    this.socket.discard()
     const check = (): void => {
       const nowMs = performance.now()
-      const { bytesRead } = this.#socket
+      const { bytesRead } = this.socket
       if (bytesRead !== lastBytes) [lastBytes, lastBytesAtMs] = [bytesRead, nowMs]
-      const isBodyOpen = this.#socket.isBodyOpen && nowMs - lastBytesAtMs < UNREAD_IDLE_MS
+      const isBodyOpen = this.socket.isBodyOpen && nowMs - lastBytesAtMs < UNREAD_IDLE_MS
       const limitMs = isBodyOpen ? UNREAD_BODY_MS : LINGER_MS
-      if (nowMs - startedAtMs > limitMs || bytesRead - bytesBefore > MAX_DISCARDED_BYTES) this.#socket.destroy()
+      if (nowMs - startedAtMs > limitMs || bytesRead - bytesBefore > MAX_DISCARDED_BYTES) this.socket.destroy()
       else this.#setTimer(LINGER_CHECK_MS, check)
     }
     this.#setTimer(LINGER_CHECK_MS, check)
   }
 
   #closeUnread (request: http.IncomingMessage): void {
-    if (!request.complete) this.#socket.destroy()
+    if (!request.complete) this.socket.destroy()
   }
 
   /**
@@ -192,12 +230,12 @@
    * are read that have arrived meanwhile.
    */
   noteSlow (latest = this.#latest): void {
-    const bytesBefore = this.#socket.bytesRead
-    const hadUnpassed = this.#socket.unpassedBytes > 0
+    const bytesBefore = this.socket.bytesRead
+    const hadUnpassed = this.socket.unpassedBytes > 0
     setImmediate(() => {
       if (this.#latest !== latest) return
-      if (this.#socket.bytesRead === 0) this.#closeUnused()
-      else if (hadUnpassed || this.#socket.bytesRead !== bytesBefore) {
+      if (this.socket.bytesRead === 0) this.#closeUnused()
+      else if (hadUnpassed || this.socket.bytesRead !== bytesBefore) {
         this.#setTimer(this.#server.headersTimeout, () => { this.noteSlow(latest) })
       } else this.refuse('too_slow')
     })
@@ -207,13 +245,13 @@
   #closeUnused (): void {
     const remainingMs = this.#openedAtMs + this.#server.keepAliveTimeout - performance.now()
     if (remainingMs > 0) this.#setTimer(remainingMs, () => { this.noteIdle() })
-    else this.#socket.destroy()
+    else this.socket.destroy()
   }
 
   noteIdle (): void {
-    const bytesBefore = this.#socket.bytesRead
+    const bytesBefore = this.socket.bytesRead
     setImmediate(() => {
-      if (this.#current === undefined && this.#socket.bytesRead === bytesBefore) this.#socket.destroy()
+      if (this.#current === undefined && this.socket.bytesRead === bytesBefore) this.socket.destroy()
     })
   }
 
--- a/src/transport/client-socket.ts
+++ b/src/transport/client-socket.ts
@@ -22,6 +22,13 @@
   isComplete: () => boolean
 }
 
+export interface SocketEvents {
+  /** The framing of a body is invalid. */
+  onMalformed: () => void
+  /** Number of bytes that were read and wait for their turn. */
+  onHeld: (kind: 'input', bytes: number) => void
+}
+
 /** What the next byte belongs to. `answer`: the response to a whole request is awaited. */
 type Stage = 'head' | 'body' | 'answer' | 'discard'
 
@@ -36,7 +43,7 @@
 export class ClientSocket extends stream.Duplex {
   readonly #raw: net.Socket
   readonly #scanner = new headScanner.HeadScanner()
-  readonly #onMalformed: () => void
+  readonly #events: SocketEvents
   #stage: Stage = 'head'
   /** Whether a request line has begun. */
   #isInHead = false
@@ -53,11 +60,10 @@
   #isDeferred = false
   #hasEnded = false
 
-  /** @param onMalformed called when the framing of a body is invalid. */
-  constructor (raw: net.Socket, onMalformed: () => void) {
+  constructor (raw: net.Socket, events: SocketEvents) {
     super({ allowHalfOpen: true })
     this.#raw = raw
-    this.#onMalformed = onMalformed
+    this.#events = events
     raw.on('readable', () => { this.#pass() })
     raw.on('end', () => { this.#noteEnd() })
     raw.on('error', error => { this.destroy(error) })
@@ -155,11 +161,12 @@
       passedBytes += length - this.#input.length
       if (passedBytes >= TURN_BYTES) this.#defer()
     }
+    this.#events.onHeld('input', this.unpassedBytes)
     if (this.#hasEnded && this.#input.length === 0 && !this.destroyed) this.#passEnd()
   }
 
   #defer (): void {
-    if (this.#isDeferred) return
+    if (this.#isDeferred || this.destroyed) return
     this.#isDeferred = true
     turnQueue.defer(() => {
       this.#isDeferred = false
@@ -214,7 +221,7 @@
     this.#input = this.#input.subarray(readTo)
     if (decoder.state === 'malformed') {
       this.#request = undefined
-      this.#onMalformed()
+      this.#events.onMalformed()
       return
     }
     let [start, end] = [SIZE_LINE_BYTES, SIZE_LINE_BYTES]
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -7,6 +7,8 @@
 import * as problem from '../protocol/problem.js'
 import * as outcomes from '../state/outcome.js'
 import * as clientConnections from './client-connections.js'
+import * as requestBody from './request-body.js'
+import type * as clientPool from './client-pool.js'
 
 export interface HttpServerOptions {
   /** IP address and port; port 0 picks a free one. */
@@ -14,7 +16,8 @@
   handler: (request: http.IncomingMessage, response: http.ServerResponse) => void
   /** Closes the server and its connections. */
   signal: AbortSignal
-  maxConnections?: number
+  /** Connections of all listeners of the process. */
+  pool: clientPool.ClientPool
 }
 
 export interface ListeningServer {
@@ -31,13 +34,18 @@
 
 export async function listen (options: HttpServerOptions): Promise<ListeningServer> {
   const server = clientConnections.createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-    connectionsCheckingInterval: 1_000,
-    noDelay: true
-  }, options.handler, refusalOf)
-  server.maxConnections = options.maxConnections ?? MAX_CONNECTIONS
+    http: {
+      maxHeaderSize: MAX_HEADER_BYTES,
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      connectionsCheckingInterval: 1_000,
+      noDelay: true
+    },
+    handler: options.handler,
+    refusalOf,
+    pool: options.pool
+  })
+  server.maxConnections = MAX_CONNECTIONS
   const [host, port] = options.address.split(':')
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -67,42 +75,23 @@
   }
 }
 
-export type BodyResult =
-  | { kind: 'ok', body: Buffer }
-  | { kind: 'too_large' }
-  | { kind: 'too_slow' }
-  | { kind: 'aborted' }
-
 /** Reads a whole body up to a limit in bytes. */
 export async function readBody (
-  request: http.IncomingMessage, limitBytes: number, timeoutMs = BODY_TIMEOUT_MS
-): Promise<BodyResult> {
-  if (Number(request.headers['content-length'] ?? 0) > limitBytes) return { kind: 'too_large' }
-  return await new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let sizeBytes = 0
-    const finish = (result: BodyResult): void => {
-      clearTimeout(timer)
-      request.removeAllListeners('data')
-      // The rest is discarded.
-      request.resume()
-      resolve(result)
-    }
-    const timer = setTimeout(() => { finish({ kind: 'too_slow' }) }, timeoutMs)
-    request.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length
-      if (sizeBytes > limitBytes) finish({ kind: 'too_large' })
-      else chunks.push(chunk)
-    })
-    request.on('end', () => { finish({ kind: 'ok', body: Buffer.concat(chunks) }) })
-    request.on('error', () => { finish({ kind: 'aborted' }) })
-    request.on('close', () => { finish({ kind: 'aborted' }) })
-  })
+  request: http.IncomingMessage, maxBytes: number, timeoutMs = BODY_TIMEOUT_MS
+): Promise<requestBody.BodyResult> {
+  return await requestBody.readBody(request, { maxBytes, timeoutMs })
 }
 
+const NO_MEMORY_RETRY_MS = 1_000
+
 /** The refusal of a request whose body was not read. */
-export function bodyRefusal (body: { kind: 'too_large' | 'too_slow' }, limitBytes: number): outcomes.Refusal {
-  return body.kind === 'too_large'
-    ? outcomes.refuse('too_large', 413, 'not_run', `body: exceeds ${limitBytes} bytes`)
-    : outcomes.refuse('invalid_request', 408, 'not_run', 'body: did not arrive in time')
+export function bodyRefusal (
+  body: Exclude<requestBody.BodyResult, { kind: 'whole' | 'aborted' }>, maxBytes: number
+): outcomes.Refusal {
+  switch (body.kind) {
+    case 'too_large': return outcomes.refuse('too_large', 413, 'not_run', `body: exceeds ${maxBytes} bytes`)
+    case 'too_slow': return outcomes.refuse('invalid_request', 408, 'not_run', 'body: did not arrive in time')
+    case 'no_memory':
+      return outcomes.refuse('overloaded', 503, 'not_run', 'body: the memory for requests is used up', NO_MEMORY_RETRY_MS)
+  }
 }
--- a/src/transport/text-metrics.ts
+++ b/src/transport/text-metrics.ts
@@ -17,6 +17,9 @@
   backendLimit: prometheus.Gauge<'backend'>
   limitPermits: prometheus.Counter<'outcome'>
   heldBack: prometheus.Counter<'service'>
+  clientConnections: prometheus.Gauge
+  clientHeldBytes: prometheus.Gauge
+  clientsGivenUp: prometheus.Counter<'reason'>
   /** All metrics as text. */
   render: () => Promise<string>
 }
@@ -34,6 +37,9 @@
     backendLimit: new prometheus.Gauge({ name: 'bulrush_backend_limit_per_second', help: 'Limit that a backend server states, in requests a second', labelNames: ['backend'], registers }),
     limitPermits: new prometheus.Counter({ name: 'bulrush_limit_permits_total', help: 'Permits for requests to backend servers with a limit: granted to all entries by this one, used and expired here', labelNames: ['outcome'], registers }),
     heldBack: new prometheus.Counter({ name: 'bulrush_held_back_total', help: 'Requests that were not sent at once because all backend servers of the service have stated limits', labelNames: ['service'], registers }),
+    clientConnections: new prometheus.Gauge({ name: 'bulrush_client_connections', help: 'Connections of clients at all listeners', registers }),
+    clientHeldBytes: new prometheus.Gauge({ name: 'bulrush_client_held_bytes', help: 'Bytes that are held for clients: what they sent ahead, bodies, and responses that they have not taken', registers }),
+    clientsGivenUp: new prometheus.Counter({ name: 'bulrush_clients_given_up_total', help: 'Connections of clients that were closed, or whose request was refused, by the limit: memory, connections, or stalled for a response that was not taken', labelNames: ['reason'], registers }),
     render: async () => await registry.metrics()
   }
 }
