transport: bound the connections of clients at all listeners of a process

What callers saw: beside 300 connections on which nothing or half a head was sent, at whichever listener, an entry with 256 descriptors accepted no further one, and neither could it open any towards backend servers, store and peers.

Cause: the listeners of the platform's programs and the metrics had no bound on connections; the product's had one of 10,000 and refused whoever came next.

One more costs the connection without progress for longest on which no request is served, of the address that has most of these, so that a crowd doesn't close the connections of others. All listeners of a process share the pool: clients, readiness, directory, peers and metrics, and the connect-es listeners of the product, whose connections also carry 128 streams at most.

--- a/src/coordination/agent.ts
+++ b/src/coordination/agent.ts
@@ -150,7 +150,7 @@
   await probe()
   const peerListening = options.engineManagementAddress === ''
     ? ''
-    : await expertMaps.startExpertMaps(options, env, incarnation, signal, onBroken)
+    : await expertMaps.startExpertMaps(options, env, { incarnation, clients }, signal, onBroken)
   environment.every(METRICS_PERIOD_MS, signal, () => {
     const load = gate.load()
     env.metrics.gauge('agent.running', load.running)
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -139,6 +139,7 @@
   const peerListening = await peerServer.listenForPeers({
     address: options.peerListen,
     signal,
+    pool: clients,
     routes: router => {
       router.service(controlPb.AgentReport, {
         report: (requests, context) => whenStarted(() => hub.serve(requests, context))
--- a/src/coordination/expert-maps.ts
+++ b/src/coordination/expert-maps.ts
@@ -16,6 +16,7 @@
 import * as settings from '../protocol/settings.js'
 import * as expertPlanner from '../state/expert-planner.js'
 import * as mapSwitch from '../state/map-switch.js'
+import type * as clientPool from '../transport/client-pool.js'
 import * as engineMapClient from '../transport/engine-map-client.js'
 import * as hostListClient from '../transport/host-list-client.js'
 import * as peerServer from '../transport/peer-server.js'
@@ -94,10 +95,17 @@
 const UNDECIDED_CHECK_PERIOD_MS = 50
 const WEIGHT_FETCH_TIMEOUT_MS = 30_000
 
+/** The process that the expert maps are part of. */
+export interface AgentProcess {
+  incarnation: string
+  /** Connections of all its listeners. */
+  clients: clientPool.ClientPool
+}
+
 /** Starts the expert maps of one rank; they end when the signal aborts. @returns the address of the peer listener. */
 export async function startExpertMaps (
-  options: ResolvedExpertMapSettings, env: environment.Environment, incarnation: string, signal: AbortSignal,
-  onBroken: (error: Error) => void
+  options: ResolvedExpertMapSettings, env: environment.Environment, { incarnation, clients }: AgentProcess,
+  signal: AbortSignal, onBroken: (error: Error) => void
 ): Promise<string> {
   const engine = new engineMapClient.HttpEngineManagement(options.engineManagementAddress, options.platformTimeoutMs)
   const store = new weightClient.S3WeightStore(options.weightStoreUrl, WEIGHT_FETCH_TIMEOUT_MS)
@@ -115,7 +123,7 @@
     prepareTimeoutMs: options.mapPrepareTimeoutMs, decisionTimeoutMs: options.mapDecisionTimeoutMs
   })
   const address = await peerServer.listenForPeers({
-    address: options.peerListen, routes: router => serveExpertMaps(router, agent, tokens), signal
+    address: options.peerListen, routes: router => serveExpertMaps(router, agent, tokens), pool: clients, signal
   })
   watchUndecidedMaps(options, env, agent, proposer, signal, onBroken)
   const leader = mapSwitch.leaderOf(Array.from({ length: options.groupSize }, (_, rank) => rank))
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -176,7 +176,7 @@
       this.#answerDirectory(request, response)
     })
     await this.#listen(this.#options.peerAddress, (request, response) => { this.#answerPeer(request, response) })
-    await metricsServer.serveMetrics(this.#options.metricsAddress, this.#env.metrics, this.#signal)
+    await metricsServer.serveMetrics(this.#options.metricsAddress, this.#env.metrics, this.#clients, this.#signal)
     this.#watchStore()
   }
 
--- a/src/coordination/ranks/agent-program.ts
+++ b/src/coordination/ranks/agent-program.ts
@@ -154,7 +154,7 @@
   async start (): Promise<void> {
     await this.#peers.open()
     await this.#listen()
-    await metricsServer.serveMetrics(this.#options.metricsAddress, this.#env.metrics, this.#signal)
+    await metricsServer.serveMetrics(this.#options.metricsAddress, this.#env.metrics, this.#clients, this.#signal)
     membershipRow.keepMembership({
       runtime: this.#env,
       store: this.#adapter.store,
--- a/src/state/__tests__/client-limits.spec.ts
+++ b/src/state/__tests__/client-limits.spec.ts
@@ -4,7 +4,7 @@
 const { expect, test } = vitest
 
 function holder (fields: Partial<clientLimits.Holder>): clientLimits.Holder {
-  return { standing: 'idle', heldBytes: 0, ...fields }
+  return { standing: 'idle', address: '10.0.0.1', heldBytes: 0, ...fields }
 }
 
 test('limits grow with the host, and their sum stays within its share of the memory', () => {
@@ -19,6 +19,21 @@
   expect(clientLimits.clientLimits({ memoryMb: 16, fileDescriptors: 1 }).maxConnections).toBe(1)
 })
 
+// Replays a crowd of silent connections beside requests that are served.
+test('the connection that is silent for longest makes room, and no request that is served', () => {
+  const served = holder({ standing: 'served' })
+  const oldest = holder({ standing: 'reading' })
+  expect(clientLimits.mostDispensable([served, oldest, holder({})])).toBe(oldest)
+  expect(clientLimits.mostDispensable([served])).toBe(undefined)
+})
+
+// Replays a crowd from one address beside an idle connection of another one.
+test('the connections of a crowd make room before those of other addresses', () => {
+  const other = holder({ address: '10.0.0.2' })
+  const crowd = Array.from({ length: 3 }, () => holder({}))
+  expect(clientLimits.mostDispensable([other, ...crowd])).toBe(crowd[0])
+})
+
 // Replays bodies that stop short of their end beside requests with small ones.
 test('the one that holds most makes room, and none that holds no more than its own part', () => {
   const [small, large] = [holder({ standing: 'reading', heldBytes: 900 }), holder({ standing: 'reading', heldBytes: 5_000 })]
--- a/src/state/client-limits.ts
+++ b/src/state/client-limits.ts
@@ -1,9 +1,9 @@
 /**
  * What clients may make a process hold, from the resources of its host.
  *
- * Load pattern: clients that nobody controls send bodies without their end, few of them with much or many with little.
- * Each connection keeps a part of the memory that no other one can take. What connections hold beyond their parts comes
- * out of memory that they share; when it is used up, the one that holds most is given up.
+ * Load pattern: clients that nobody controls open connections and send bodies without their end, few of them with much
+ * or many with little. Each connection keeps a part of the memory that no other one can take. What connections hold
+ * beyond their parts comes out of memory that they share; when it is used up, the one that holds most is given up.
  */
 
 export interface HostResources {
@@ -46,9 +46,26 @@
 
 export interface Holder {
   standing: Standing
+  /** IP address of the client. */
+  address: string
   heldBytes: number
 }
 
+/**
+ * Finds the connection to end so that another one can be accepted. Of those on which no request is served, it is one
+ * of the address that has most of them, so that a crowd doesn't close the connections of others, and there the one that
+ * has been without progress for longest.
+ * @param holders in the order of their last progress.
+ * @returns undefined if each is being served.
+ */
+export function mostDispensable<H extends Holder> (holders: Iterable<H>): H | undefined {
+  const candidates = [...holders].filter(({ standing }) => standing !== 'served')
+  const counts = new Map<string, number>()
+  for (const { address } of candidates) counts.set(address, (counts.get(address) ?? 0) + 1)
+  const most = Math.max(...counts.values())
+  return candidates.find(({ address }) => counts.get(address) === most)
+}
+
 /**
  * A request that is served keeps its body.
  * @returns the connection to end so that less is held: the one that holds most.
--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -47,7 +47,8 @@
   const [accept] = server.listeners('connection')
   server.removeAllListeners('connection')
   server.on('connection', (raw: net.Socket) => {
-    const connection = new ClientConnection(server, raw, handler, refusalOf, pool)
+    const connection = new ClientConnection(server, raw, handler, refusalOf)
+    if (!connection.join(pool)) return
     connections.set(connection.socket as unknown as net.Socket, connection)
     accept!.call(server, connection.socket)
   })
@@ -97,6 +98,7 @@
 
 class ClientConnection implements clientPool.PooledConnection {
   readonly socket: clientSocket.ClientSocket
+  readonly address: string
   readonly #server: http.Server
   readonly #handler: RequestHandler
   readonly #refusalOf: (fault: ConnectionFault) => string
@@ -108,19 +110,20 @@
   /** What is sent once the request before the fault is answered. */
   #lastWords: string | undefined
   #timer: NodeJS.Timeout | undefined
-  readonly #holding: clientPool.Holding
+  #holding: clientPool.Holding | undefined
   #account: requestBody.BodyAccount | undefined
 
   constructor (
-    server: http.Server, raw: net.Socket, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string,
-    pool: clientPool.ClientPool
+    server: http.Server, raw: net.Socket, handler: RequestHandler, refusalOf: (fault: ConnectionFault) => string
   ) {
     this.#server = server
     this.#handler = handler
     this.#refusalOf = refusalOf
+    this.address = raw.remoteAddress ?? ''
     this.socket = new clientSocket.ClientSocket(raw, {
       onMalformed: () => { this.refuse('malformed') },
-      onHeld: (kind, bytes) => { this.#holding.hold(kind, bytes) }
+      onProgress: () => { this.#holding?.noteProgress() },
+      onHeld: (kind, bytes) => { this.#holding?.hold(kind, bytes) }
     })
     // Called by Node after a response that states `Connection: close`. Its own method destroys the socket, so that
     // unread bytes of the client reset the connection, and the response is lost.
@@ -128,9 +131,15 @@
     this.socket.once('end', () => { this.#noteClientEnd() })
     this.socket.once('close', () => {
       clearTimeout(this.#timer)
-      this.#holding.close()
+      this.#holding?.close()
     })
+  }
+
+  /** @returns false if there are too many connections; this one is closed then. */
+  join (pool: clientPool.ClientPool): boolean {
     this.#holding = pool.open(this)
+    if (this.#holding === undefined) this.socket.destroy()
+    return this.#holding !== undefined
   }
 
   get standing (): clientLimits.Standing {
@@ -139,9 +148,9 @@
     return this.#current.request.complete ? 'served' : 'reading'
   }
 
-  giveUp (): void {
+  giveUp (reason: clientPool.GiveUpReason): void {
     const account = this.#account
-    if (account?.onGivenUp === undefined || this.#current === undefined) {
+    if (reason !== 'memory' || account?.onGivenUp === undefined || this.#current === undefined) {
       this.socket.destroy()
       return
     }
@@ -160,12 +169,12 @@
 
   #serve (exchange: Exchange): void {
     this.#current = exchange
-    this.#account = { hold: bytes => { this.#holding.hold('body', bytes) }, onGivenUp: undefined }
+    this.#account = { hold: bytes => { this.#holding?.hold('body', bytes) }, onGivenUp: undefined }
     requestBody.countBody(exchange.request, this.#account)
     exchange.response.once('close', () => {
       this.#current = undefined
       this.#account = undefined
-      this.#holding.hold('body', 0)
+      this.#holding?.hold('body', 0)
       if (this.socket.writable && this.#lastWords !== undefined) this.#end(this.#lastWords)
       if (!this.socket.writable) return
       // A response with `Connection: close` has ended the connection.
--- a/src/transport/client-pool.ts
+++ b/src/transport/client-pool.ts
@@ -1,14 +1,17 @@
 /**
- * The connections of clients at all listeners of a process, and the memory that they make it hold. Memory that is too
- * much costs the one that holds most.
+ * The connections of clients at all listeners of a process, and the memory that they make it hold. One that is too many
+ * costs the connection that has been without progress for longest; memory that is too much costs the one that holds
+ * most.
  */
 
 import * as clientLimits from '../state/client-limits.js'
 
-/** Why a connection was given up. */
-export type GiveUpReason = 'memory'
+/** Why a connection was given up or refused. */
+export type GiveUpReason = 'memory' | 'connections'
 
 export interface PooledConnection {
+  /** IP address of the client; empty if it is unknown. */
+  readonly address: string
   readonly standing: clientLimits.Standing
   /** Refuses the request that is being read, or closes the connection. What it holds is released at once. */
   giveUp: (reason: GiveUpReason) => void
@@ -27,6 +30,7 @@
 export class ClientPool {
   readonly #limits: clientLimits.ClientLimits
   readonly #observer: PoolObserver
+  /** In the order of their last progress. */
   readonly #holdings = new Set<Holding>()
   /** Bytes beyond the own parts of connections. */
   #sharedBytes = 0
@@ -41,8 +45,17 @@
     signal.addEventListener('abort', () => { clearInterval(timer) }, { once: true })
   }
 
-  open (connection: PooledConnection): Holding {
+  /** Adds a connection. @returns undefined if it can't be accepted. */
+  open (connection: PooledConnection): Holding | undefined {
+    while (this.#holdings.size >= this.#limits.maxConnections) {
+      const given = clientLimits.mostDispensable(this.#holdings)
+      this.#observer.onGivenUp('connections')
+      if (given === undefined) return undefined
+      this.#giveUp(given, 'connections')
+      given.close()
+    }
     const holding = new Holding(connection, {
+      onProgress: () => { this.#moveToEnd(holding) },
       onChange: (before, after) => { this.#noteChange(before, after) },
       onClose: () => { this.#holdings.delete(holding) }
     })
@@ -50,6 +63,10 @@
     return holding
   }
 
+  #moveToEnd (holding: Holding): void {
+    if (this.#holdings.delete(holding)) this.#holdings.add(holding)
+  }
+
   #noteChange (beforeBytes: number, afterBytes: number): void {
     const { ownBytes, sharedBytes } = this.#limits
     this.#heldBytes += afterBytes - beforeBytes
@@ -70,6 +87,7 @@
 }
 
 interface HoldingEvents {
+  onProgress: () => void
   onChange: (beforeBytes: number, afterBytes: number) => void
   onClose: () => void
 }
@@ -87,10 +105,19 @@
     this.#events = events
   }
 
+  get address (): string {
+    return this.connection.address
+  }
+
   get standing (): clientLimits.Standing {
     return this.connection.standing
   }
 
+  /** Called when the client has sent or taken bytes. */
+  noteProgress (): void {
+    this.#events.onProgress()
+  }
+
   hold (kind: HeldKind, bytes: number): void {
     if (this.#isClosed || bytes === this.#bytes[kind]) return
     const before = this.heldBytes
--- a/src/transport/client-socket.ts
+++ b/src/transport/client-socket.ts
@@ -25,6 +25,8 @@
 export interface SocketEvents {
   /** The framing of a body is invalid. */
   onMalformed: () => void
+  /** The client has sent bytes, or taken some. */
+  onProgress: () => void
   /** Number of bytes that were read and wait for their turn. */
   onHeld: (kind: 'input', bytes: number) => void
 }
@@ -40,6 +42,8 @@
 const SIZE_LINE_BYTES = 16
 const EMPTY = Buffer.alloc(0)
 
+type WriteCallback = (error?: Error | null) => void
+
 export class ClientSocket extends stream.Duplex {
   readonly #raw: net.Socket
   readonly #scanner = new headScanner.HeadScanner()
@@ -64,7 +68,10 @@
     super({ allowHalfOpen: true })
     this.#raw = raw
     this.#events = events
-    raw.on('readable', () => { this.#pass() })
+    raw.on('readable', () => {
+      events.onProgress()
+      this.#pass()
+    })
     raw.on('end', () => { this.#noteEnd() })
     raw.on('error', error => { this.destroy(error) })
     raw.on('close', () => { this.destroy() })
@@ -121,7 +128,7 @@
   }
 
   override _write (chunk: Buffer, encoding: BufferEncoding, callback: (error?: Error | null) => void): void {
-    this.#raw.write(chunk, encoding, callback)
+    this.#raw.write(chunk, encoding, this.#afterWrite(callback))
   }
 
   override _writev (
@@ -130,7 +137,7 @@
     const last = chunks.pop()!
     this.#raw.cork()
     for (const { chunk, encoding } of chunks) this.#raw.write(chunk, encoding)
-    this.#raw.write(last.chunk, last.encoding, callback)
+    this.#raw.write(last.chunk, last.encoding, this.#afterWrite(callback))
     this.#raw.uncork()
   }
 
@@ -144,6 +151,13 @@
     callback(error)
   }
 
+  #afterWrite (callback: WriteCallback): WriteCallback {
+    return error => {
+      this.#events.onProgress()
+      callback(error)
+    }
+  }
+
   get #mayPass (): boolean {
     if (this.destroyed || this.#isDeferred) return false
     if (this.#stage === 'discard') return true
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -30,7 +30,6 @@
 const HEADERS_TIMEOUT_MS = 10_000
 const BODY_TIMEOUT_MS = 60_000
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
-const MAX_CONNECTIONS = 10_000
 
 export async function listen (options: HttpServerOptions): Promise<ListeningServer> {
   const server = clientConnections.createServer({
@@ -45,7 +44,6 @@
     refusalOf,
     pool: options.pool
   })
-  server.maxConnections = MAX_CONNECTIONS
   const [host, port] = options.address.split(':')
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
--- a/src/transport/peer-server.ts
+++ b/src/transport/peer-server.ts
@@ -8,13 +8,19 @@
 import * as connect from '@connectrpc/connect'
 import * as connectNode from '@connectrpc/connect-node'
 import * as messageStream from './message-stream.js'
+import type * as clientPool from './client-pool.js'
 
 export interface PeerServerOptions {
   address: string
   routes: (router: connect.ConnectRouter) => void
+  /** Connections of all listeners of the process; undefined if they are not bounded. */
+  pool?: clientPool.ClientPool
   signal: AbortSignal
 }
 
+/** Streams of one connection at a time; a peer has a few. */
+const MAX_STREAMS = 128
+
 interface StreamRoute {
   method: protobuf.DescMethodBiDiStreaming
   handle (requests: AsyncIterable<protobuf.Message>, context: connect.HandlerContext): AsyncIterable<protobuf.Message>
@@ -29,7 +35,7 @@
     acceptCompression: [],
     shutdownSignal: options.signal
   })
-  const server = http2.createServer((request, response) => {
+  const server = http2.createServer({ settings: { maxConcurrentStreams: MAX_STREAMS } }, (request, response) => {
     const route = streams.get(request.url)
     const isStream = route !== undefined && request.headers['content-type'] === messageStream.CONTENT_TYPE &&
       request.headers['connect-content-encoding'] === undefined
@@ -41,6 +47,7 @@
     sessions.add(session)
     session.once('close', () => sessions.delete(session))
     session.on('error', () => session.destroy())
+    if (options.pool !== undefined) joinPool(options.pool, session)
   })
   const [host, port] = options.address.split(':')
   await new Promise<void>((resolve, reject) => {
@@ -55,6 +62,29 @@
   return `${bound.address}:${bound.port}`
 }
 
+/** A connection without a stream may be closed for another one. */
+function joinPool (pool: clientPool.ClientPool, session: http2.ServerHttp2Session): void {
+  let openStreams = 0
+  const holding = pool.open({
+    address: session.socket.remoteAddress ?? '',
+    get standing () { return openStreams === 0 ? 'idle' : 'served' },
+    giveUp: () => { session.destroy() }
+  })
+  if (holding === undefined) {
+    session.destroy()
+    return
+  }
+  session.on('stream', stream => {
+    openStreams += 1
+    holding.noteProgress()
+    stream.once('close', () => {
+      openStreams -= 1
+      holding.noteProgress()
+    })
+  })
+  session.once('close', () => { holding.close() })
+}
+
 /** Router that also collects the methods of bidirectional streams, which are served without connect-es's pipeline. */
 function collectStreams (router: connect.ConnectRouter, streams: Map<string, StreamRoute>): connect.ConnectRouter {
   const collecting: connect.ConnectRouter = {
