transport: count responses that clients don't take, and give up stalled ones

What callers saw: 14 clients that asked for responses of 11 MB and read none took 234 MB of an entry on a host of 160 MB. A connection whose response isn't taken stayed open for good, with its descriptor.

Cause: the memory for responses of backend servers counts a response until it is whole. Then it waited in the client's socket and counted nowhere. Node's idle time begins when a response is taken, so it never began.

Change: what a connection has not taken counts as held by it. When memory is used up, the largest holder may be one whose client doesn't read, even while its request is served. Long writes are divided into 64 kB, so that progress shows; a whole response of which nothing is taken for the idle time of the listener is given up. To make room for a connection, one with a response comes after those without.

--- a/src/state/__tests__/client-limits.spec.ts
+++ b/src/state/__tests__/client-limits.spec.ts
@@ -4,7 +4,7 @@
 const { expect, test } = vitest
 
 function holder (fields: Partial<clientLimits.Holder>): clientLimits.Holder {
-  return { standing: 'idle', address: '10.0.0.1', heldBytes: 0, ...fields }
+  return { standing: 'idle', address: '10.0.0.1', heldBytes: 0, unsentBytes: 0, ...fields }
 }
 
 test('limits grow with the host, and their sum stays within its share of the memory', () => {
@@ -24,6 +24,9 @@
   const served = holder({ standing: 'served' })
   const oldest = holder({ standing: 'reading' })
   expect(clientLimits.mostDispensable([served, oldest, holder({})])).toBe(oldest)
+  expect(clientLimits.mostDispensable([served, holder({ standing: 'sending' }), oldest])).toBe(oldest)
+  const sending = holder({ standing: 'sending' })
+  expect(clientLimits.mostDispensable([served, sending])).toBe(sending)
   expect(clientLimits.mostDispensable([served])).toBe(undefined)
 })
 
@@ -41,6 +44,9 @@
   expect(clientLimits.largestHolder([small], 1_000)).toBe(undefined)
 })
 
-test('a request that is served keeps its body', () => {
-  expect(clientLimits.largestHolder([holder({ standing: 'served', heldBytes: 9_000 })], 1_000)).toBe(undefined)
+test('a request that is served keeps its body, and not a response that its client leaves', () => {
+  const withBody = holder({ standing: 'served', heldBytes: 9_000 })
+  const unread = holder({ standing: 'served', heldBytes: 6_000, unsentBytes: 5_000 })
+  expect(clientLimits.largestHolder([withBody], 1_000)).toBe(undefined)
+  expect(clientLimits.largestHolder([withBody, unread], 1_000)).toBe(unread)
 })
--- a/src/state/client-limits.ts
+++ b/src/state/client-limits.ts
@@ -1,9 +1,10 @@
 /**
  * What clients may make a process hold, from the resources of its host.
  *
- * Load pattern: clients that nobody controls open connections and send bodies without their end, few of them with much
- * or many with little. Each connection keeps a part of the memory that no other one can take. What connections hold
- * beyond their parts comes out of memory that they share; when it is used up, the one that holds most is given up.
+ * Load pattern: clients that nobody controls open connections, send bodies without their end and don't read responses,
+ * few of them with much or many with little. Each connection keeps a part of the memory that no other one can take.
+ * What connections hold beyond their parts comes out of memory that they share; when it is used up, the one that holds
+ * most is given up.
  */
 
 export interface HostResources {
@@ -41,14 +42,16 @@
   return { maxConnections, ownBytes, sharedBytes: Math.floor(bytes - ownBytes * maxConnections) }
 }
 
-/** `idle`: no request is being read or served. */
-export type Standing = 'idle' | 'reading' | 'served' | 'closing'
+/** `idle`: no request is being read or served. `sending`: the response waits for its client to take it. */
+export type Standing = 'idle' | 'reading' | 'served' | 'sending' | 'closing'
 
 export interface Holder {
   standing: Standing
   /** IP address of the client. */
   address: string
   heldBytes: number
+  /** Bytes of a response that its client has not taken. */
+  unsentBytes: number
 }
 
 /**
@@ -59,24 +62,29 @@
  * @returns undefined if each is being served.
  */
 export function mostDispensable<H extends Holder> (holders: Iterable<H>): H | undefined {
-  const candidates = [...holders].filter(({ standing }) => standing !== 'served')
+  const dispensable = [...holders].filter(({ standing }) => standing !== 'served')
+  const waiting = dispensable.filter(({ standing }) => standing !== 'sending')
+  const candidates = waiting.length > 0 ? waiting : dispensable
   const counts = new Map<string, number>()
   for (const { address } of candidates) counts.set(address, (counts.get(address) ?? 0) + 1)
   const most = Math.max(...counts.values())
   return candidates.find(({ address }) => counts.get(address) === most)
 }
 
-/**
- * A request that is served keeps its body.
- * @returns the connection to end so that less is held: the one that holds most.
- */
+/** @returns the connection to end so that less is held: the one that holds most through its client's fault. */
 export function largestHolder<H extends Holder> (holders: Iterable<H>, ownBytes: number): H | undefined {
   let largest: H | undefined
   let mostBytes = ownBytes
   for (const holder of holders) {
-    if (holder.standing === 'served' || holder.heldBytes <= mostBytes) continue
+    const bytes = bytesAtFault(holder)
+    if (bytes <= mostBytes) continue
     largest = holder
-    mostBytes = holder.heldBytes
+    mostBytes = bytes
   }
   return largest
 }
+
+/** A request that is served keeps its body, and only what its client doesn't take is held against it. */
+function bytesAtFault ({ standing, heldBytes, unsentBytes }: Holder): number {
+  return standing === 'served' ? unsentBytes : heldBytes
+}
--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -137,7 +137,7 @@
 
   /** @returns false if there are too many connections; this one is closed then. */
   join (pool: clientPool.ClientPool): boolean {
-    this.#holding = pool.open(this)
+    this.#holding = pool.open(this, () => this.#server.keepAliveTimeout)
     if (this.#holding === undefined) this.socket.destroy()
     return this.#holding !== undefined
   }
@@ -145,7 +145,9 @@
   get standing (): clientLimits.Standing {
     if (!this.socket.writable) return 'closing'
     if (this.#current === undefined) return 'idle'
-    return this.#current.request.complete ? 'served' : 'reading'
+    const { request, response } = this.#current
+    if (response.writableEnded) return 'sending'
+    return request.complete ? 'served' : 'reading'
   }
 
   giveUp (reason: clientPool.GiveUpReason): void {
--- a/src/transport/client-pool.ts
+++ b/src/transport/client-pool.ts
@@ -6,8 +6,8 @@
 
 import * as clientLimits from '../state/client-limits.js'
 
-/** Why a connection was given up or refused. */
-export type GiveUpReason = 'memory' | 'connections'
+/** Why a connection was given up or refused. `stalled`: its client took nothing of a response for the idle time. */
+export type GiveUpReason = 'memory' | 'connections' | 'stalled'
 
 export interface PooledConnection {
   /** IP address of the client; empty if it is unknown. */
@@ -23,9 +23,9 @@
   onUsage: (connections: number, heldBytes: number) => void
 }
 
-export type HeldKind = 'input' | 'body'
+export type HeldKind = 'input' | 'body' | 'unsent'
 
-const USAGE_INTERVAL_MS = 1_000
+const SWEEP_INTERVAL_MS = 1_000
 
 export class ClientPool {
   readonly #limits: clientLimits.ClientLimits
@@ -39,14 +39,16 @@
   constructor (limits: clientLimits.ClientLimits, observer: PoolObserver, signal: AbortSignal) {
     this.#limits = limits
     this.#observer = observer
-    const timer = setInterval(() => {
-      observer.onUsage(this.#holdings.size, this.#heldBytes)
-    }, USAGE_INTERVAL_MS).unref()
+    const timer = setInterval(() => { this.#sweep() }, SWEEP_INTERVAL_MS).unref()
     signal.addEventListener('abort', () => { clearInterval(timer) }, { once: true })
   }
 
-  /** Adds a connection. @returns undefined if it can't be accepted. */
-  open (connection: PooledConnection): Holding | undefined {
+  /**
+   * Adds a connection.
+   * @param stallMs time after which a response that its client doesn't take is given up.
+   * @returns undefined if it can't be accepted.
+   */
+  open (connection: PooledConnection, stallMs: () => number): Holding | undefined {
     while (this.#holdings.size >= this.#limits.maxConnections) {
       const given = clientLimits.mostDispensable(this.#holdings)
       this.#observer.onGivenUp('connections')
@@ -54,7 +56,7 @@
       this.#giveUp(given, 'connections')
       given.close()
     }
-    const holding = new Holding(connection, {
+    const holding = new Holding(connection, stallMs, {
       onProgress: () => { this.#moveToEnd(holding) },
       onChange: (before, after) => { this.#noteChange(before, after) },
       onClose: () => { this.#holdings.delete(holding) }
@@ -84,6 +86,16 @@
     holding.connection.giveUp(reason)
     holding.release()
   }
+
+  #sweep (): void {
+    const nowMs = performance.now()
+    for (const holding of this.#holdings) {
+      if (holding.standing !== 'sending' || nowMs - holding.progressAtMs < holding.stallMs()) continue
+      this.#observer.onGivenUp('stalled')
+      this.#giveUp(holding, 'stalled')
+    }
+    this.#observer.onUsage(this.#holdings.size, this.#heldBytes)
+  }
 }
 
 interface HoldingEvents {
@@ -95,13 +107,16 @@
 /** What one connection makes the process hold. */
 export class Holding implements clientLimits.Holder {
   readonly connection: PooledConnection
+  readonly stallMs: () => number
   readonly #events: HoldingEvents
-  readonly #bytes: Record<HeldKind, number> = { input: 0, body: 0 }
+  readonly #bytes: Record<HeldKind, number> = { input: 0, body: 0, unsent: 0 }
   heldBytes = 0
+  progressAtMs = performance.now()
   #isClosed = false
 
-  constructor (connection: PooledConnection, events: HoldingEvents) {
+  constructor (connection: PooledConnection, stallMs: () => number, events: HoldingEvents) {
     this.connection = connection
+    this.stallMs = stallMs
     this.#events = events
   }
 
@@ -113,8 +128,13 @@
     return this.connection.standing
   }
 
+  get unsentBytes (): number {
+    return this.#bytes.unsent
+  }
+
   /** Called when the client has sent or taken bytes. */
   noteProgress (): void {
+    this.progressAtMs = performance.now()
     this.#events.onProgress()
   }
 
@@ -127,7 +147,7 @@
   }
 
   release (): void {
-    for (const kind of ['input', 'body'] as const) this.hold(kind, 0)
+    for (const kind of ['input', 'body', 'unsent'] as const) this.hold(kind, 0)
   }
 
   close (): void {
--- a/src/transport/client-socket.ts
+++ b/src/transport/client-socket.ts
@@ -27,8 +27,8 @@
   onMalformed: () => void
   /** The client has sent bytes, or taken some. */
   onProgress: () => void
-  /** Number of bytes that were read and wait for their turn. */
-  onHeld: (kind: 'input', bytes: number) => void
+  /** Number of bytes that wait: `input` for their turn, `unsent` for the client to take them. */
+  onHeld: (kind: 'input' | 'unsent', bytes: number) => void
 }
 
 /** What the next byte belongs to. `answer`: the response to a whole request is awaited. */
@@ -38,6 +38,8 @@
 const TURN_BYTES = 32 * 1024
 const LAST_SIZE_LINE = Buffer.from('0\r\n')
 const LINE_END = Buffer.from('\r\n')
+/** Longer writes are divided, so that it shows when the client takes a part of them. */
+const MAX_WRITE_BYTES = 64 * 1024
 /** Room for the size line of a chunk that is written in front of its data. */
 const SIZE_LINE_BYTES = 16
 const EMPTY = Buffer.alloc(0)
@@ -127,18 +129,12 @@
     if (this.unpassedBytes > 0) process.nextTick(() => { this.#pass() })
   }
 
-  override _write (chunk: Buffer, encoding: BufferEncoding, callback: (error?: Error | null) => void): void {
-    this.#raw.write(chunk, encoding, this.#afterWrite(callback))
+  override _write (chunk: Buffer, _encoding: BufferEncoding, callback: WriteCallback): void {
+    this.#write([chunk], callback)
   }
 
-  override _writev (
-    chunks: { chunk: Buffer, encoding: BufferEncoding }[], callback: (error?: Error | null) => void
-  ): void {
-    const last = chunks.pop()!
-    this.#raw.cork()
-    for (const { chunk, encoding } of chunks) this.#raw.write(chunk, encoding)
-    this.#raw.write(last.chunk, last.encoding, this.#afterWrite(callback))
-    this.#raw.uncork()
+  override _writev (chunks: { chunk: Buffer }[], callback: WriteCallback): void {
+    this.#write(chunks.map(({ chunk }) => chunk), callback)
   }
 
   override _final (callback: () => void): void {
@@ -151,11 +147,34 @@
     callback(error)
   }
 
-  #afterWrite (callback: WriteCallback): WriteCallback {
-    return error => {
+  #write (buffers: readonly Buffer[], callback: WriteCallback): void {
+    this.#events.onHeld('unsent', this.writableLength)
+    const afterWrite: WriteCallback = error => {
       this.#events.onProgress()
       callback(error)
+      this.#events.onHeld('unsent', this.writableLength)
+    }
+    if (this.writableLength > MAX_WRITE_BYTES) {
+      this.#writeParts(partsOf(buffers), afterWrite)
+      return
     }
+    this.#raw.cork()
+    for (const buffer of buffers.slice(0, -1)) this.#raw.write(buffer)
+    this.#raw.write(buffers.at(-1)!, afterWrite)
+    this.#raw.uncork()
+  }
+
+  #writeParts (parts: Iterator<Buffer>, callback: WriteCallback): void {
+    const next = parts.next()
+    if (next.done === true) {
+      callback()
+      return
+    }
+    this.#raw.write(next.value, error => {
+      this.#events.onProgress()
+      if (error === undefined || error === null) this.#writeParts(parts, callback)
+      else callback(error)
+    })
   }
 
   get #mayPass (): boolean {
@@ -285,3 +304,9 @@
     this.push(null)
   }
 }
+
+function * partsOf (buffers: readonly Buffer[]): Generator<Buffer> {
+  for (const buffer of buffers) {
+    for (let at = 0; at < buffer.length; at += MAX_WRITE_BYTES) yield buffer.subarray(at, at + MAX_WRITE_BYTES)
+  }
+}
--- a/src/transport/peer-server.ts
+++ b/src/transport/peer-server.ts
@@ -69,7 +69,7 @@
     address: session.socket.remoteAddress ?? '',
     get standing () { return openStreams === 0 ? 'idle' : 'served' },
     giveUp: () => { session.destroy() }
-  })
+  }, () => Infinity)
   if (holding === undefined) {
     session.destroy()
     return
