gateway: know requests by a bounded number of parts with short names

What callers saw: 12,000 requests whose prompt parts had names of 14 kB, inside the limit of a head, ended an entry with a heap of 96 MB, and nobody was served.

Cause: the parts of requests that ran are remembered for a while to find what crashes backend servers, up to 4,000 of them for each service and server, with their names as the client sent them.

Change: a name of more than 64 characters is known by its hash, and a request by its first 64 parts. The parts of the deployments' prompts have names of eight digits, and a prompt has three. The header is forwarded as it came.

--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -158,6 +158,10 @@
 
 /** Bytes of a body that tell requests apart. */
 const HASHED_BODY_BYTES = 4_096
+/** Parts that a request is known by. They are kept for a while after it has run. */
+const MAX_KNOWN_PARTS = 64
+/** A longer name is known by its hash. */
+const MAX_PART_NAME_CHARACTERS = 64
 
 function featuresOf ({ request, head, body }: ReceivedRequest, service: string): crashSuspects.Features {
   const hash = crypto.createHash('sha1')
@@ -165,6 +169,10 @@
     .update(body.first(HASHED_BODY_BYTES))
   return {
     request: `request ${hash.digest('base64url')}`,
-    parts: [...new Set(head.sharedPartIds)].map(id => `part ${service} ${id}`)
+    parts: [...new Set(head.sharedPartIds)].slice(0, MAX_KNOWN_PARTS).map(id => `part ${service} ${shortName(id)}`)
   }
 }
+
+function shortName (id: string): string {
+  return id.length <= MAX_PART_NAME_CHARACTERS ? id : crypto.createHash('sha1').update(id).digest('base64url')
+}
