gateway: hold heads to the limit of the configuration, and count them

What callers saw: nothing yet; heads were accepted up to 64 kB although the configuration of the deployments allows 16, and what was held of them counted nowhere: 1,000 connections with an unfinished head held 64 MB.

Change: the limit of the configuration applies to connections that are opened after it. A head counts as held by its connection until the next one begins.

Evidence: large-heads.spec.ts: a head of exactly the limit is served, one of 200 bytes more got 200 before and gets 431 now.

--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -297,8 +297,10 @@
 
   #applyLimits (table: routingTable.RoutingTable): void {
     if (this.#clientServer === undefined) return
-    const { headerTimeoutMs, idleTimeoutMs } = table.configuration.limits
+    const { headerTimeoutMs, idleTimeoutMs, maxHeaderBytes } = table.configuration.limits
     this.#clientServer.headersTimeout = headerTimeoutMs
+    // Node reads this for each new connection. The parser counts a little less than what was sent.
+    Object.assign(this.#clientServer, { maxHeaderSize: maxHeaderBytes + 1 })
     this.#clientServer.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS
   }
 
--- a/src/transport/client-socket.ts
+++ b/src/transport/client-socket.ts
@@ -27,7 +27,7 @@
   onMalformed: () => void
   /** The client has sent bytes, or taken some. */
   onProgress: () => void
-  /** Number of bytes that wait: `input` for their turn, `unsent` for the client to take them. */
+  /** Number of bytes that wait: `input`, head included, for their turn, `unsent` for the client to take them. */
   onHeld: (kind: 'input' | 'unsent', bytes: number) => void
 }
 
@@ -53,6 +53,8 @@
   #stage: Stage = 'head'
   /** Whether a request line has begun. */
   #isInHead = false
+  /** Size of the last head, which the parser keeps until its request is answered. */
+  #headBytes = 0
   /** Bytes that were read and are not passed on yet. */
   #input: Buffer = EMPTY
   /** The request whose body is passed on. */
@@ -194,7 +196,7 @@
       passedBytes += length - this.#input.length
       if (passedBytes >= TURN_BYTES) this.#defer()
     }
-    this.#events.onHeld('input', this.unpassedBytes)
+    this.#events.onHeld('input', this.unpassedBytes + this.#headBytes)
     if (this.#hasEnded && this.#input.length === 0 && !this.destroyed) this.#passEnd()
   }
 
@@ -220,11 +222,13 @@
       this.#input = this.#input.subarray(headScanner.HeadScanner.countEmptyLines(this.#input))
       if (this.#input.length === 0) return
       this.#isInHead = true
+      this.#headBytes = 0
       this.#scanner.startHead()
     }
     const end = this.#scanner.findEnd(this.#input)
     const portion = end < 0 ? this.#input : this.#input.subarray(0, end)
     this.#input = this.#input.subarray(portion.length)
+    this.#headBytes += portion.length
     if (end >= 0) this.#isInHead = false
     this.push(portion)
     const request = this.#request
