transport: join the small pieces of responses, too

What callers saw: four responses of 500 kB from backend servers, in chunks of one byte, ended an entry with a heap of 96 MB.

Cause: the same as for bodies of clients: each chunk was a buffer of its own, and the memory for responses counted its bytes alone. Read beside it: an agent of the product copied a whole result of any size to record it for a retry, though one over 1 MB is never recorded.

Change: whole responses, answers of the store and ranks, and the product's own relay hold their bytes as bodies do, and count the memory that they take. The agent's copy ends with the size that may be recorded.

--- a/src/coordination/backend-gate.ts
+++ b/src/coordination/backend-gate.ts
@@ -16,6 +16,7 @@
 import * as recordedResults from '../state/recorded-results.js'
 import type * as serverView from '../state/server-view.js'
 import type * as backendClient from '../transport/backend-client.js'
+import * as heldBytes from '../transport/held-bytes.js'
 import * as httpServer from '../transport/http-server.js'
 
 export interface BackendGateParts {
@@ -199,9 +200,10 @@
       return ended === 'complete'
     }
     if (headers.headerValue(request.headers, headers.agentHeaders.repeatable) === '0') {
-      const answerBody = await forwardAndCopy(result, response)
-      if (answerBody === undefined) return false
-      attempts.end(id, 'completed', { status: result.status, headers: answerHeaders, body: answerBody })
+      const copied = await forwardAndCopy(result, response)
+      if (copied === 'broken') return false
+      const record = { status: result.status, headers: answerHeaders }
+      attempts.end(id, 'completed', copied === 'too_large' ? undefined : { ...record, body: copied })
       response.end()
       return true
     }
@@ -211,27 +213,28 @@
   }
 
   /**
-   * Forwards an answer and returns a copy of its body. Continues to read when the entry disconnects, since the
-   * result is recorded for a retry.
+   * Forwards an answer and copies its body, up to the size that is recorded for a retry. Continues to read when the
+   * entry disconnects.
    */
   async function forwardAndCopy (
     result: backendClient.BackendAnswer, response: http.ServerResponse
-  ): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = []
-    let sizeBytes = 0
+  ): Promise<Buffer | 'broken' | 'too_large'> {
+    const copy = new heldBytes.HeldBytes()
+    let isTooLarge = false
     try {
       for await (const chunk of result.body as AsyncIterable<Buffer>) {
-        chunks.push(chunk)
-        sizeBytes += chunk.length
+        if (!isTooLarge) copy.append(chunk)
+        isTooLarge ||= copy.sizeBytes > recordedResults.MAX_RESULT_BYTES
+        if (isTooLarge) copy.clear()
         if (response.destroyed || response.write(chunk)) continue
-        // Up to the size that is recorded, a result is read without waiting for a slow reader.
-        if (sizeBytes > recordedResults.MAX_RESULT_BYTES) await waitForDrainOrClose(response)
+        // Up to that size, a result is read without waiting for a slow reader.
+        if (isTooLarge) await waitForDrainOrClose(response)
       }
     } catch {
       response.destroy()
-      return undefined
+      return 'broken'
     }
-    return Buffer.concat(chunks, sizeBytes)
+    return isTooLarge ? 'too_large' : copy.concat()
   }
 
   function failureOf (
--- a/src/coordination/gateway/whole-response.ts
+++ b/src/coordination/gateway/whole-response.ts
@@ -21,13 +21,13 @@
 ): Promise<ReadResult> {
   return await new Promise(resolve => {
     const buffer = bufferBudget.openBuffer(budget, () => {
-      response.destroy(new Error(`the response is too large after ${buffer.sizeBytes} bytes`))
+      response.destroy(new Error(`the response is too large after ${buffer.body.sizeBytes} bytes`))
     })
     response.on('data', (chunk: Buffer) => { bufferBudget.append(budget, buffer, chunk) })
     response.on('error', error => { resolve({ kind: 'incomplete', reason: error.message }) })
     response.on('end', () => {
       resolve(answerEnd.isWhole(request, response)
-        ? { kind: 'whole', body: Buffer.concat(buffer.chunks), framing: framingOf(response) }
+        ? { kind: 'whole', body: buffer.body.concat(), framing: framingOf(response) }
         : { kind: 'incomplete', reason: 'the response ended early' })
     })
     response.on('close', () => {
--- a/src/coordination/relay.ts
+++ b/src/coordination/relay.ts
@@ -10,6 +10,7 @@
 import * as headers from '../protocol/headers.js'
 import * as wholeEvents from '../protocol/whole-events.js'
 import * as outcomes from '../state/outcome.js'
+import * as heldBytes from '../transport/held-bytes.js'
 import type * as backendClient from '../transport/backend-client.js'
 
 export type RelayResult =
@@ -51,8 +52,7 @@
 async function relayWhole (
   request: call.Call, answer: backendClient.BackendAnswer, response: http.ServerResponse
 ): Promise<RelayResult> {
-  const buffered: Buffer[] = []
-  let bufferedBytes = 0
+  const buffered = new heldBytes.HeldBytes()
   try {
     for await (const chunk of answer.body as AsyncIterable<Buffer>) {
       if (response.destroyed) return { kind: 'caller_gone' }
@@ -60,11 +60,10 @@
         if (!response.write(chunk)) await waitForDrainOrClose(response)
         continue
       }
-      buffered.push(chunk)
-      bufferedBytes += chunk.length
-      if (bufferedBytes > MAX_BUFFERED_BYTES) {
+      buffered.append(chunk)
+      if (buffered.sizeBytes > MAX_BUFFERED_BYTES) {
         sendHead(request, answer, response)
-        for (const piece of buffered) response.write(piece)
+        for (const piece of buffered.pieces) response.write(piece)
       }
     }
   } catch {
@@ -76,8 +75,8 @@
     return { kind: 'broken_unsent', refusal }
   }
   if (!response.headersSent) {
-    sendHead(request, answer, response, bufferedBytes)
-    response.end(Buffer.concat(buffered))
+    sendHead(request, answer, response, buffered.sizeBytes)
+    response.end(buffered.concat())
   } else response.end()
   return { kind: 'relayed' }
 }
--- a/src/transport/buffer-budget.ts
+++ b/src/transport/buffer-budget.ts
@@ -3,6 +3,8 @@
  * given up, so that an endless body can't displace the others.
  */
 
+import * as heldBytes from './held-bytes.js'
+
 export interface BufferBudget {
   maxBytes: number
   usedBytes: number
@@ -10,9 +12,8 @@
 }
 
 export interface CountedBuffer {
-  readonly chunks: Buffer[]
-  sizeBytes: number
-  /** Called when the buffer is given up; its chunks are released. */
+  readonly body: heldBytes.HeldBytes
+  /** Called when the buffer is given up; its bytes are released. */
   readonly onGivenUp: () => void
 }
 
@@ -21,7 +22,7 @@
 }
 
 export function openBuffer (budget: BufferBudget, onGivenUp: () => void): CountedBuffer {
-  const buffer: CountedBuffer = { chunks: [], sizeBytes: 0, onGivenUp }
+  const buffer: CountedBuffer = { body: new heldBytes.HeldBytes(), onGivenUp }
   budget.buffers.add(buffer)
   return buffer
 }
@@ -29,18 +30,18 @@
 /** Appends a chunk; ignored after the buffer was given up or closed. */
 export function append (budget: BufferBudget, buffer: CountedBuffer, chunk: Buffer): void {
   if (!budget.buffers.has(buffer)) return
-  buffer.chunks.push(chunk)
-  buffer.sizeBytes += chunk.length
-  budget.usedBytes += chunk.length
+  const before = buffer.body.takenBytes
+  buffer.body.append(chunk)
+  budget.usedBytes += buffer.body.takenBytes - before
   while (budget.usedBytes > budget.maxBytes) {
-    const largest = [...budget.buffers].reduce((a, b) => (b.sizeBytes > a.sizeBytes ? b : a))
+    const largest = [...budget.buffers].reduce((a, b) => (b.body.takenBytes > a.body.takenBytes ? b : a))
     close(budget, largest)
-    largest.chunks.length = 0
     largest.onGivenUp()
+    largest.body.clear()
   }
 }
 
-/** Ends the count of a buffer. Its chunks stay with the caller. */
+/** Ends the count of a buffer. Its bytes stay with the caller. */
 export function close (budget: BufferBudget, buffer: CountedBuffer): void {
-  if (budget.buffers.delete(buffer)) budget.usedBytes -= buffer.sizeBytes
+  if (budget.buffers.delete(buffer)) budget.usedBytes -= buffer.body.takenBytes
 }
--- a/src/transport/http-call.ts
+++ b/src/transport/http-call.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as answerEnd from './answer-end.js'
+import * as heldBytes from './held-bytes.js'
 
 export interface HttpCall {
   /** IP address and port. */
@@ -91,11 +92,9 @@
         resolve({ kind: 'connection_lost' })
         return
       }
-      const chunks: Buffer[] = []
-      let sizeBytes = 0
+      const body = new heldBytes.HeldBytes()
       response.on('data', (chunk: Buffer) => {
-        sizeBytes += chunk.length
-        if (sizeBytes <= call.maxBodyBytes) chunks.push(chunk)
+        if (body.sizeBytes + chunk.length <= call.maxBodyBytes) body.append(chunk)
         else if (!isTooLarge) {
           isTooLarge = true
           request.destroy(new Error(`the answer of ${call.address} exceeds ${call.maxBodyBytes} bytes`))
@@ -108,7 +107,7 @@
           return
         }
         const { statusCode = 0, headers } = response
-        resolve({ kind: 'answer', status: statusCode, headers, body: Buffer.concat(chunks) })
+        resolve({ kind: 'answer', status: statusCode, headers, body: body.concat() })
       })
     })
     const timer = setTimeout(() => {
