gateway: a stopping process closes when turns of the event loop bring nothing

Cause: libuv accepts one connection in each turn of the event loop. The shutdown judged by time: two polls, 20 ms apart, without an open request. A request that is refused at once is open at no poll, and on a busy host few turns fit between two polls, so that the listener was closed with connections in its queue, and these were reset.

Change: before each poll, turns are awaited until three in a row bring neither a connection nor bytes, for 20 ms at most; a poll after which anything arrived isn't idle. The same before the exit, for the time in which the last answers are sent. What time each turn takes makes no difference any more.

--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -168,7 +168,7 @@
         callEnd.endFaultyCall(response)
         this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
       })
-    })
+    }, () => { this.#shutdown.noteArrival() })
     await this.#listen(this.#options.readinessAddress, (request, response) => {
       this.#answerReadiness(request, response)
     })
@@ -331,12 +331,13 @@
   }
 
   async #listen (
-    address: string, handler: (request: http.IncomingMessage, response: http.ServerResponse) => void
+    address: string, handler: clientConnections.RequestHandler, onArrival: () => void = () => {}
   ): Promise<http.Server> {
     const server = clientConnections.createServer({
       http: { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000, noDelay: true },
       handler,
-      pool: this.#clients
+      pool: this.#clients,
+      onArrival
     })
     const [host, port] = address.split(':')
     await new Promise<void>((resolve, reject) => {
--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -31,6 +31,11 @@
 const POLL_MS = 20
 /** A poll that comes so late shows that the process was held up, and that bytes have arrived which it has not read. */
 const HELD_UP_MS = 100
+/**
+ * Turns of the event loop in which nothing arrives. A connection that waits is accepted in one, and what it brought is
+ * read in the next, however long a busy host takes for each.
+ */
+const QUIET_TURNS = 3
 /** Time to send the last answers. */
 const FLUSH_MS = 50
 const FLUSH_POLL_MS = 5
@@ -42,6 +47,8 @@
   readonly #open = new Set<AbortController>()
   #window: shutdownWindow.ShutdownWindow | undefined
   #overdueAtMs = -Infinity
+  /** Number of times that a connection was opened or bytes were read. */
+  #arrivals = 0
 
   constructor (options: ShutdownOptions) {
     this.#options = options
@@ -93,6 +100,11 @@
     return this.latestStartMs(call, expectedMs) - reserveMs
   }
 
+  /** Called when a client has opened a connection or sent bytes. */
+  noteArrival (): void {
+    this.#arrivals += 1
+  }
+
   /** Called when a stream that has begun is overdue. */
   noteOverdueStream (): void {
     this.#overdueAtMs = this.#options.runtime.nowMs()
@@ -118,8 +130,11 @@
     const closed = new AbortController()
     let polledAtMs = nowMs()
     let hasBeenIdle = false
+    let arrivals = this.#arrivals
     while (nowMs() < exitByMs && !closed.signal.aborted) {
-      const isIdle = this.#open.size === 0 && nowMs() - polledAtMs < HELD_UP_MS
+      await this.#readArrived(nowMs() + POLL_MS)
+      const isIdle = this.#open.size === 0 && this.#arrivals === arrivals && nowMs() - polledAtMs < HELD_UP_MS
+      arrivals = this.#arrivals
       polledAtMs = nowMs()
       if (polledAtMs >= answerByMs) this.#abortOpen()
       if (isIdle && hasBeenIdle && polledAtMs - startedAtMs > clientLeaveMs) {
@@ -131,14 +146,24 @@
       hasBeenIdle = isIdle
       await timers.setTimeout(POLL_MS)
     }
-    // The process may have been held up until now. What has arrived meanwhile is read in the next turns, and refused.
-    for (let turn = 0; turn < 2; turn++) await timers.setImmediate()
-    this.#abortOpen()
+    // The process may have been held up until now. What has arrived meanwhile is read, and refused.
     const flushedByMs = nowMs() + FLUSH_MS
+    await this.#readArrived(flushedByMs)
+    this.#abortOpen()
     while (this.#open.size > 0 && nowMs() < flushedByMs) await timers.setTimeout(FLUSH_POLL_MS)
     if (this.#open.size > 0) log.emit('drainOverdue', { requests: this.#open.size })
   }
 
+  /** Reads what has arrived, until nothing more arrives or a time has passed. */
+  async #readArrived (untilMs: number): Promise<void> {
+    const { nowMs } = this.#options.runtime
+    for (let quietTurns = 0; quietTurns < QUIET_TURNS && nowMs() < untilMs;) {
+      const before = this.#arrivals
+      await timers.setImmediate()
+      quietTurns = this.#arrivals === before ? quietTurns + 1 : 0
+    }
+  }
+
   #abortOpen (): void {
     for (const controller of this.#open) abort(controller, 'shutdown')
   }
--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -37,9 +37,13 @@
   refusalOf?: (fault: ConnectionFault) => string
   /** Connections of all listeners of the process. */
   pool: clientPool.ClientPool
+  /** Called when a connection was opened, or bytes of a client were read. */
+  onArrival?: () => void
 }
 
-export function createServer ({ http: options, handler, refusalOf = bareRefusal, pool }: ServerOptions): http.Server {
+export function createServer (
+  { http: options, handler, refusalOf = bareRefusal, pool, onArrival = () => {} }: ServerOptions
+): http.Server {
   // Handlers limit the time of a body, since only they know whether its request has been passed on. Requests without a
   // host are refused here, since Node reports none that it refuses itself.
   const server = http.createServer({ ...options, requestTimeout: 0, requireHostHeader: false })
@@ -47,6 +51,8 @@
   const [accept] = server.listeners('connection')
   server.removeAllListeners('connection')
   server.on('connection', (raw: net.Socket) => {
+    onArrival()
+    raw.on('readable', onArrival)
     const connection = new ClientConnection(server, raw, handler, refusalOf)
     if (!connection.join(pool)) return
     connections.set(connection.socket as unknown as net.Socket, connection)
