entry, agent: read what has arrived before a stopping process exits

What callers saw: 300 of 300 calls that were sent on new connections while a stopping entry of the product was held up ended without an answer.

Change: the count of what arrives, and the turns that are awaited until nothing more does, are a class of their own, and the product's entry and agent wait for quiet turns before they exit, as the gateway does.

--- a/src/coordination/agent.ts
+++ b/src/coordination/agent.ts
@@ -19,6 +19,7 @@
 import * as outcomes from '../state/outcome.js'
 import type * as serverView from '../state/server-view.js'
 import * as stops from '../state/stops.js'
+import * as arrivalsModule from '../transport/arrivals.js'
 import * as backendClient from '../transport/backend-client.js'
 import * as engineClient from '../transport/engine-client.js'
 import * as hostListClient from '../transport/host-list-client.js'
@@ -108,11 +109,13 @@
     env.log.emit('backendCrashed', { backendAddress: options.backendAddress, running: crash.fingerprints.length })
     reporter.reportCrash(crash)
   })
+  const arrivals = new arrivalsModule.Arrivals()
   const clients = clientGuard.createClientGuard(options, clientGuard.statsdReport(env), signal)
   const server = await httpServer.listen({
     address: options.listen,
     signal,
     pool: clients,
+    arrivals,
     handler: (request, response) => {
       openResponses += 1
       response.once('close', () => { openResponses -= 1 })
@@ -164,7 +167,10 @@
     drain.set('terminated', true)
     // An answer that the backend server has completed may still be in transit to the entry.
     const isBusy = (): boolean => gate.load().running > 0 || openResponses > 0 || streams.isAwaited()
-    while (!signal.aborted && isBusy()) {
+    while (!signal.aborted) {
+      const arrived = arrivals.count
+      await arrivals.untilQuiet(DRAIN_POLL_MS)
+      if (!isBusy() && arrivals.count === arrived) break
       await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
     }
     reporter.reportNow()
--- a/src/coordination/entry-gate.ts
+++ b/src/coordination/entry-gate.ts
@@ -7,6 +7,7 @@
 import * as addressAnswer from './address-answer.js'
 import type * as configurationGuard from './configuration-guard.js'
 import type * as drainModule from './drain.js'
+import type * as arrivalsModule from '../transport/arrivals.js'
 import type * as environment from './environment.js'
 import * as peerExchange from './peer-exchange.js'
 import * as headers from '../protocol/headers.js'
@@ -25,6 +26,8 @@
   guard: configurationGuard.ConfigurationGuard
   drain: drainModule.Drain
   inFlight: () => number
+  /** What callers send. */
+  arrivals: arrivalsModule.Arrivals
 }
 
 const RETRY_AFTER_MS = 1_000
@@ -64,7 +67,10 @@
   }
 
   async function waitUntilDrained (): Promise<void> {
-    while (!signal.aborted && !(hasGraceEnded() && parts.inFlight() === 0)) {
+    while (!signal.aborted) {
+      const arrived = parts.arrivals.count
+      await parts.arrivals.untilQuiet(DRAIN_POLL_MS)
+      if (hasGraceEnded() && parts.inFlight() === 0 && parts.arrivals.count === arrived) return
       await new Promise(resolve => setTimeout(resolve, DRAIN_POLL_MS))
     }
   }
--- a/src/coordination/entry.ts
+++ b/src/coordination/entry.ts
@@ -49,6 +49,7 @@
 import * as membership from '../state/membership.js'
 import * as outcomes from '../state/outcome.js'
 import * as route from '../state/route.js'
+import * as arrivalsModule from '../transport/arrivals.js'
 import * as backendClient from '../transport/backend-client.js'
 import * as hostListClient from '../transport/host-list-client.js'
 import * as httpServer from '../transport/http-server.js'
@@ -129,11 +130,13 @@
   // The listeners are opened first, because the identity contains their addresses; requests wait for the rest.
   let markStarted = (): void => {}
   const started = new Promise<void>(resolve => { markStarted = resolve })
+  const arrivals = new arrivalsModule.Arrivals()
   const clients = clientGuard.createClientGuard(options, clientGuard.statsdReport(env), signal)
   const callerServer = await httpServer.listen({
     address: options.listen,
     signal,
     pool: clients,
+    arrivals,
     handler: (request, response) => { started.then(() => handle(request, response)).catch(onBroken) }
   })
   const peerListening = await peerServer.listenForPeers({
@@ -226,7 +229,9 @@
     issuer,
     recovery: streamRecovery.createStreamRecovery(env, { servers, client, dispatcher: dispatch })
   })
-  const gate = entryGate.createEntryGate(env, { guard, drain, inFlight: () => calls.inFlight() }, signal)
+  const gate = entryGate.createEntryGate(env, {
+    guard, drain, inFlight: () => calls.inFlight(), arrivals
+  }, signal)
   const operators = operatorApi.createOperatorApi({
     operatorKeyDigest: crypto.createHash('sha256').update(options.operatorKey).digest(),
     configuration,
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -10,6 +10,7 @@
 import * as clusterView from '../../state/cluster-view.js'
 import * as feedSchedule from '../../state/feed-schedule.js'
 import * as peerSchedule from '../../state/peer-schedule.js'
+import * as arrivalsModule from '../../transport/arrivals.js'
 import * as bufferBudget from '../../transport/buffer-budget.js'
 import * as clientConnections from '../../transport/client-connections.js'
 import * as metricsServer from '../../transport/metrics-server.js'
@@ -64,6 +65,8 @@
   #clientServer: http.Server | undefined
   readonly #shutdown: shutdown.Shutdown
   readonly #clients: clientPool.ClientPool
+  /** What clients send to the listener for requests. */
+  readonly #arrivals = new arrivalsModule.Arrivals()
 
   constructor (
     options: platformSettings.EntryOptions, adapter: platformAdapter.PlatformAdapter, env: runtime.Runtime,
@@ -109,7 +112,10 @@
       signal
     })
     this.#shutdown = new shutdown.Shutdown({
-      runtime: env, shutdownMs: options.shutdownMs, hasReadyPeer: () => this.#readyEntries().length > 0
+      runtime: env,
+      shutdownMs: options.shutdownMs,
+      hasReadyPeer: () => this.#readyEntries().length > 0,
+      arrivals: this.#arrivals
     })
     const recordsSinceMs = options.systemStart === 'first' ? -Infinity : env.nowMs()
     this.#context = {
@@ -168,7 +174,7 @@
         callEnd.endFaultyCall(response)
         this.#env.log.emit('requestFault', { url: request.url, detail: error.stack })
       })
-    }, () => { this.#shutdown.noteArrival() })
+    }, this.#arrivals)
     await this.#listen(this.#options.readinessAddress, (request, response) => {
       this.#answerReadiness(request, response)
     })
@@ -331,13 +337,13 @@
   }
 
   async #listen (
-    address: string, handler: clientConnections.RequestHandler, onArrival: () => void = () => {}
+    address: string, handler: clientConnections.RequestHandler, arrivals?: arrivalsModule.Arrivals
   ): Promise<http.Server> {
     const server = clientConnections.createServer({
       http: { maxHeaderSize: MAX_HEADER_BYTES, connectionsCheckingInterval: 1_000, noDelay: true },
       handler,
       pool: this.#clients,
-      onArrival
+      ...(arrivals === undefined ? {} : { arrivals })
     })
     const [host, port] = address.split(':')
     await new Promise<void>((resolve, reject) => {
--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -8,6 +8,7 @@
 import * as shutdownWindow from '../../state/shutdown-window.js'
 import * as waitQueue from '../../state/wait-queue.js'
 import type * as http from 'node:http'
+import type * as arrivalsModule from '../../transport/arrivals.js'
 import type * as runtime from '../runtime.js'
 
 export interface ShutdownOptions {
@@ -16,6 +17,8 @@
   shutdownMs: number
   /** Whether clients that are refused can go to another entry. */
   hasReadyPeer: () => boolean
+  /** What clients send. */
+  arrivals: arrivalsModule.Arrivals
 }
 
 interface StoppableCall {
@@ -31,11 +34,6 @@
 const POLL_MS = 20
 /** A poll that comes so late shows that the process was held up, and that bytes have arrived which it has not read. */
 const HELD_UP_MS = 100
-/**
- * Turns of the event loop in which nothing arrives. A connection that waits is accepted in one, and what it brought is
- * read in the next, however long a busy host takes for each.
- */
-const QUIET_TURNS = 3
 /** Time to send the last answers. */
 const FLUSH_MS = 50
 const FLUSH_POLL_MS = 5
@@ -47,8 +45,6 @@
   readonly #open = new Set<AbortController>()
   #window: shutdownWindow.ShutdownWindow | undefined
   #overdueAtMs = -Infinity
-  /** Number of times that a connection was opened or bytes were read. */
-  #arrivals = 0
 
   constructor (options: ShutdownOptions) {
     this.#options = options
@@ -100,11 +96,6 @@
     return this.latestStartMs(call, expectedMs) - reserveMs
   }
 
-  /** Called when a client has opened a connection or sent bytes. */
-  noteArrival (): void {
-    this.#arrivals += 1
-  }
-
   /** Called when a stream that has begun is overdue. */
   noteOverdueStream (): void {
     this.#overdueAtMs = this.#options.runtime.nowMs()
@@ -125,16 +116,16 @@
    * to leave and nothing is in flight, or when the shutdown time is nearly over.
    */
   async finish (server: http.Server | undefined, clientLeaveMs: number): Promise<void> {
-    const { runtime: { nowMs, log } } = this.#options
+    const { arrivals, runtime: { nowMs, log } } = this.#options
     const { startedAtMs, answerByMs, exitByMs } = this.#window!
     const closed = new AbortController()
     let polledAtMs = nowMs()
     let hasBeenIdle = false
-    let arrivals = this.#arrivals
+    let arrived = arrivals.count
     while (nowMs() < exitByMs && !closed.signal.aborted) {
-      await this.#readArrived(nowMs() + POLL_MS)
-      const isIdle = this.#open.size === 0 && this.#arrivals === arrivals && nowMs() - polledAtMs < HELD_UP_MS
-      arrivals = this.#arrivals
+      await arrivals.untilQuiet(POLL_MS)
+      const isIdle = this.#open.size === 0 && arrivals.count === arrived && nowMs() - polledAtMs < HELD_UP_MS
+      arrived = arrivals.count
       polledAtMs = nowMs()
       if (polledAtMs >= answerByMs) this.#abortOpen()
       if (isIdle && hasBeenIdle && polledAtMs - startedAtMs > clientLeaveMs) {
@@ -148,22 +139,12 @@
     }
     // The process may have been held up until now. What has arrived meanwhile is read, and refused.
     const flushedByMs = nowMs() + FLUSH_MS
-    await this.#readArrived(flushedByMs)
+    await arrivals.untilQuiet(FLUSH_MS)
     this.#abortOpen()
     while (this.#open.size > 0 && nowMs() < flushedByMs) await timers.setTimeout(FLUSH_POLL_MS)
     if (this.#open.size > 0) log.emit('drainOverdue', { requests: this.#open.size })
   }
 
-  /** Reads what has arrived, until nothing more arrives or a time has passed. */
-  async #readArrived (untilMs: number): Promise<void> {
-    const { nowMs } = this.#options.runtime
-    for (let quietTurns = 0; quietTurns < QUIET_TURNS && nowMs() < untilMs;) {
-      const before = this.#arrivals
-      await timers.setImmediate()
-      quietTurns = this.#arrivals === before ? quietTurns + 1 : 0
-    }
-  }
-
   #abortOpen (): void {
     for (const controller of this.#open) abort(controller, 'shutdown')
   }
--- a/src/transport/client-connections.ts
+++ b/src/transport/client-connections.ts
@@ -8,6 +8,7 @@
 import * as clientSocket from './client-socket.js'
 import * as requestBody from './request-body.js'
 import type * as clientLimits from '../state/client-limits.js'
+import type * as arrivalsModule from './arrivals.js'
 import type * as clientPool from './client-pool.js'
 
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void
@@ -37,12 +38,12 @@
   refusalOf?: (fault: ConnectionFault) => string
   /** Connections of all listeners of the process. */
   pool: clientPool.ClientPool
-  /** Called when a connection was opened, or bytes of a client were read. */
-  onArrival?: () => void
+  /** Told of what clients send. */
+  arrivals?: arrivalsModule.Arrivals
 }
 
 export function createServer (
-  { http: options, handler, refusalOf = bareRefusal, pool, onArrival = () => {} }: ServerOptions
+  { http: options, handler, refusalOf = bareRefusal, pool, arrivals }: ServerOptions
 ): http.Server {
   // Handlers limit the time of a body, since only they know whether its request has been passed on. Requests without a
   // host are refused here, since Node reports none that it refuses itself.
@@ -51,8 +52,8 @@
   const [accept] = server.listeners('connection')
   server.removeAllListeners('connection')
   server.on('connection', (raw: net.Socket) => {
-    onArrival()
-    raw.on('readable', onArrival)
+    arrivals?.note()
+    raw.on('readable', () => { arrivals?.note() })
     const connection = new ClientConnection(server, raw, handler, refusalOf)
     if (!connection.join(pool)) return
     connections.set(connection.socket as unknown as net.Socket, connection)
--- a/src/transport/http-server.ts
+++ b/src/transport/http-server.ts
@@ -8,6 +8,7 @@
 import * as outcomes from '../state/outcome.js'
 import * as clientConnections from './client-connections.js'
 import * as requestBody from './request-body.js'
+import type * as arrivalsModule from './arrivals.js'
 import type * as clientPool from './client-pool.js'
 
 export interface HttpServerOptions {
@@ -18,6 +19,8 @@
   signal: AbortSignal
   /** Connections of all listeners of the process. */
   pool: clientPool.ClientPool
+  /** Told of what clients send. */
+  arrivals?: arrivalsModule.Arrivals
 }
 
 export interface ListeningServer {
@@ -42,7 +45,8 @@
     },
     handler: options.handler,
     refusalOf,
-    pool: options.pool
+    pool: options.pool,
+    ...(options.arrivals === undefined ? {} : { arrivals: options.arrivals })
   })
   const [host, port] = options.address.split(':')
   await new Promise<void>((resolve, reject) => {
