logs: the longest pause of each stream, and the pace of a group

It could not tell a backlog that is served late from passes that are slow, and the skew of a map was logged only when a plan had copies.

The same as metrics: bulrush_longest_pause_ms, bulrush_pass_ms, bulrush_expert_skew. No decision changes.

--- a/src/coordination/gateway/call-history.ts
+++ b/src/coordination/gateway/call-history.ts
@@ -36,7 +36,8 @@
       lastEventId,
       events: 0,
       firstEventAtMs: undefined,
-      lastEventAtMs: undefined
+      lastEventAtMs: undefined,
+      longestPauseMs: 0
     },
     lastFailure: '',
     failedResponse: undefined,
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -70,7 +70,13 @@
   delivered (status: number, route: routingTable.Route, progress: streamAttempt.StreamProgress): void {
     const endMs = progress.firstEventAtMs ?? this.#ctx.nowMs()
     this.#ctx.metrics.latencyMs.observe({ kind: route.isStream ? 'stream' : 'plain' }, endMs - this.#arrivedAtMs)
-    this.#recordEnd('delivered', { status, latencyMs: Math.round(endMs - this.#arrivedAtMs), events: progress.events })
+    if (route.isStream) this.#ctx.metrics.longestPauseMs.observe(progress.longestPauseMs)
+    this.#recordEnd('delivered', {
+      status,
+      latencyMs: Math.round(endMs - this.#arrivedAtMs),
+      events: progress.events,
+      longestPauseMs: Math.round(progress.longestPauseMs)
+    })
   }
 
   /** @param when the stage that the request was in, for the log. */
--- a/src/coordination/gateway/stream-attempt.ts
+++ b/src/coordination/gateway/stream-attempt.ts
@@ -19,6 +19,8 @@
   events: number
   firstEventAtMs: number | undefined
   lastEventAtMs: number | undefined
+  /** Longest time between two events so far. */
+  longestPauseMs: number
 }
 
 export interface StreamOptions {
@@ -130,7 +132,9 @@
   response.write(event.bytes)
   progress.events += 1
   if (event.hasData || event.id !== undefined) progress.hasEvents = true
-  progress.lastEventAtMs = options.nowMs()
+  const nowMs = options.nowMs()
+  progress.longestPauseMs = Math.max(progress.longestPauseMs, nowMs - (progress.lastEventAtMs ?? nowMs))
+  progress.lastEventAtMs = nowMs
   if (event.id !== undefined) progress.lastEventId = event.id
   options.onEvent(!isContinued || event.id !== undefined)
   return undefined
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -37,6 +37,7 @@
 /** Time after a change of popularity or the opening of a group in which its ranks run and count a pass. */
 const CHANGE_SETTLING_MS = 120
 const DIRECT_READ_INTERVAL_MS = 200
+const PACE_INTERVAL_MS = 1_000
 /** Time in addition to two repeats of a rank's state after which the rank is read directly. */
 const SILENT_RANK_MARGIN_MS = 200
 
@@ -56,6 +57,9 @@
   /** Counts for the next plan. */
   #collectedCounts: { counts: number[][], epoch: number } | undefined
   #collectedAtMs = -Infinity
+  /** Mean over the sets of the most loaded rank's load, by the last counts; undefined before the first ones. */
+  #skew: number | undefined
+  #paceAtMs = -Infinity
   readonly #fencedRanks = new Set<number>()
   #isCollecting = false
   #isAdvanceScheduled = false
@@ -75,6 +79,7 @@
     this.#state = undefined
     this.#map = undefined
     this.#changes = undefined
+    this.#skew = undefined
     this.#ranks.clear()
     this.#fencedRanks.clear()
   }
@@ -119,6 +124,7 @@
     if (this.#state?.epoch !== own.epoch || this.#state.size !== own.size) {
       this.#state = rankSwitch.createSwitchState(own.epoch, own.size, own.rank, this.#term, nowMs(), this.#previousLead)
       this.#map = undefined
+      this.#skew = undefined
       this.#fencedRanks.clear()
     }
     if (!own.isOpen) return
@@ -133,10 +139,27 @@
     }
     this.#sendOrders(step.orders, own)
     if (!rankSwitch.isIdle(this.#state)) this.#readSilentRanks(own)
+    this.#reportPace(this.#state)
     this.#collectCounts(own)
     if (rankSwitch.isIdle(this.#state) && this.#collectedCounts !== undefined) this.#plan(own)
   }
 
+  #reportPace (state: rankSwitch.SwitchState): void {
+    const { runtime: { nowMs, log, metrics } } = this.#options
+    if (nowMs() - this.#paceAtMs < PACE_INTERVAL_MS) return
+    this.#paceAtMs = nowMs()
+    metrics.passMs.set(state.passMs)
+    if (this.#skew !== undefined) metrics.expertSkew.set(this.#skew)
+    log.emit('groupPace', {
+      epoch: state.epoch,
+      step: state.passSample?.step,
+      passMs: Math.round(state.passMs),
+      skew: this.#skew,
+      slowdown: Math.max(...[...this.#ranks.values()].map(rank => rank.slowdown)),
+      phase: state.phase.kind
+    })
+  }
+
   /** Sends the current term to every rank, so that ranks refuse orders of earlier leads. */
   #fenceAll (own: rankControl.RankGroup): void {
     // No rank is held at step 0, so the order has no other effect.
@@ -236,6 +259,7 @@
       slowdowns: Array.from({ length: own.size }, (_, rank) => Math.max(1, this.#ranks.get(rank)?.slowdown ?? 1)),
       minGainPerCopy: expertRebalance.MIN_GAIN_PER_COPY
     })
+    this.#skew = plan.skewBefore / model.expertSets
     if (plan.copies === 0) return
     const version = rankSwitch.propose(state, plan.map, nowMs())
     this.#changes = {
@@ -249,7 +273,7 @@
       epoch: own.epoch,
       version,
       copies: plan.copies,
-      skewBefore: plan.skewBefore / model.expertSets,
+      skewBefore: this.#skew,
       skewAfter: plan.skewAfter / model.expertSets,
       planMs: Math.round(nowMs() - startedAtMs)
     })
--- a/src/transport/text-metrics.ts
+++ b/src/transport/text-metrics.ts
@@ -13,6 +13,9 @@
   repeats: prometheus.Counter<'service'>
   waiting: prometheus.Gauge
   latencyMs: prometheus.Histogram<'kind'>
+  longestPauseMs: prometheus.Histogram
+  passMs: prometheus.Gauge
+  expertSkew: prometheus.Gauge
   mapSwitches: prometheus.Counter<'outcome'>
   backendLimit: prometheus.Gauge<'backend'>
   limitPermits: prometheus.Counter<'outcome'>
@@ -33,6 +36,9 @@
     repeats: new prometheus.Counter({ name: 'bulrush_repeats_total', help: 'Attempts beyond the first of a request', labelNames: ['service'], registers }),
     waiting: new prometheus.Gauge({ name: 'bulrush_waiting_requests', help: 'Requests that wait for a free slot', registers }),
     latencyMs: new prometheus.Histogram({ name: 'bulrush_latency_ms', help: 'Time to the whole response, or to the first event of a stream', labelNames: ['kind'], buckets: LATENCY_BOUNDS_MS, registers }),
+    longestPauseMs: new prometheus.Histogram({ name: 'bulrush_longest_pause_ms', help: 'Longest time between two events of a stream that was delivered', buckets: LATENCY_BOUNDS_MS, registers }),
+    passMs: new prometheus.Gauge({ name: 'bulrush_pass_ms', help: 'Mean duration of the last passes of the group that this agent leads', registers }),
+    expertSkew: new prometheus.Gauge({ name: 'bulrush_expert_skew', help: 'Load of the most loaded rank over the mean load, in the group that this agent leads', registers }),
     mapSwitches: new prometheus.Counter({ name: 'bulrush_map_switches_total', help: 'Expert map switches by how they ended', labelNames: ['outcome'], registers }),
     backendLimit: new prometheus.Gauge({ name: 'bulrush_backend_limit_per_second', help: 'Limit that a backend server states, in requests a second', labelNames: ['backend'], registers }),
     limitPermits: new prometheus.Counter({ name: 'bulrush_limit_permits_total', help: 'Permits for requests to backend servers with a limit: granted to all entries by this one, used and expired here', labelNames: ['outcome'], registers }),
