--- a/src/coordination/ranks/rank-executor.ts
+++ b/src/coordination/ranks/rank-executor.ts
@@ -34,14 +34,8 @@
 
 /** Maximum number of maps kept: the one in use and later ones that were prepared but abandoned. */
 const MAX_KEPT_MAPS = 6
-/**
- * Interval at which the rank's counts are read while its group is open, so that a lead can request any recent window
- * and a change of popularity is noticed within about a pass.
- */
-const COUNTS_INTERVAL_MS = 100
-/** The counts of more experts take an agent longer to read, so they are read at every third interval. */
-const MANY_COUNTS = 512
-const MANY_COUNTS_INTERVALS = 3
+/** A timer that fires a little early must not skip a reading. */
+const TIMER_TOLERANCE_MS = 20
 /** Less than the lead waits for the sum, so that one silent agent does not lose the counts of all. */
 const COUNTS_TIMEOUT_MS = 400
 
@@ -49,12 +43,11 @@
   readonly #options: RankExecutorOptions
   readonly #maps: { epoch: number, version: number, map: rankControl.ExpertMap }[] = []
   readonly #counts = countWindow.createWindow()
-  /** Number of intervals at which counts were due. */
-  #intervals = 0
+  #countsReadAtMs = -Infinity
 
   constructor (options: RankExecutorOptions) {
     this.#options = options
-    const timer = setInterval(() => { this.#readCounts() }, COUNTS_INTERVAL_MS)
+    const timer = setInterval(() => { this.#readCounts() }, countWindow.SAMPLE_INTERVAL_MS)
     options.signal.addEventListener('abort', () => { clearInterval(timer) }, { once: true })
   }
 
@@ -121,12 +114,12 @@
   }
 
   async #readCounts (): Promise<void> {
-    const { engine, group, rank, signal } = this.#options
+    const { engine, group, rank, runtime: { nowMs }, signal } = this.#options
     const model = engine()
-    this.#intervals += 1
     if (model === undefined || model.expertSets === 0 || group()?.isOpen !== true) return
-    const hasMany = model.expertSets * model.expertsPerSet > MANY_COUNTS
-    if (hasMany && this.#intervals % MANY_COUNTS_INTERVALS !== 0) return
+    const intervalMs = countWindow.sampleIntervalMs(model.expertSets * model.expertsPerSet)
+    if (nowMs() - this.#countsReadAtMs < intervalMs - TIMER_TOLERANCE_MS) return
+    this.#countsReadAtMs = nowMs()
     const counts = await rank.counts(model.expertSets, signal)
     if (counts !== undefined) this.#noteCounts(counts)
   }
--- a/src/state/count-window.ts
+++ b/src/state/count-window.ts
@@ -37,6 +37,20 @@
   return { samples: [] }
 }
 
+/**
+ * Interval at which a rank's counts are read while its group is open, so that a lead can request any recent window and
+ * a change of popularity is noticed within about a pass.
+ */
+export const SAMPLE_INTERVAL_MS = 100
+/** The counts of more experts take an agent longer to read. */
+const MANY_COUNTS = 512
+const MANY_COUNTS_INTERVAL_MS = 300
+
+/** Interval at which an agent reads this number of counts. */
+export function sampleIntervalMs (counts: number): number {
+  return counts > MANY_COUNTS ? MANY_COUNTS_INTERVAL_MS : SAMPLE_INTERVAL_MS
+}
+
 /** Samples are kept for the longest window that a lead asks for. */
 const SAMPLE_RETENTION_MS = 1_500
 /** Minimum time between samples whose choices are compared; a shorter one may contain no pass. */
