expert plans: weigh a copy by the size of the group

Cause: a copy had to gain 0.06 of a set's highest load, whatever the size of the group. In a group of 8, one copy relieves an eighth of the ranks; in one of 32 it relieves one of many ranks that are nearly as loaded, so no copy gains that much, and plans ended at a skew of 1.4 to 1.5. All ranks copy at the same time, so what is to be paid back is the time of a round of one copy at each rank, and the gain of a round is what is compared.

Change: the threshold is 0.48 divided by the number of ranks: 0.06 for 8, as before, 0.04 for 12, 0.015 for 32.

The bound of the small group is unchanged.

--- a/src/state/expert-rebalance.ts
+++ b/src/state/expert-rebalance.ts
@@ -33,8 +33,21 @@
   skewAfter: number
 }
 
-/** Copies that gain less slow the passes down for longer than they pay back before popularity changes again. */
-export const MIN_GAIN_PER_COPY = 0.06
+/**
+ * Reduction of a set's highest rank load that pays back one copy at each rank before popularity changes again, in units
+ * of the mean load of a rank. All ranks copy at the same time, so the passes are slow for as long as with one copy.
+ */
+const MIN_GAIN_PER_ROUND = 0.48
+
+/**
+ * Minimum gain that is worth a copy in a group of this size.
+ *
+ * Load pattern: in a group of 32 ranks a copy relieves one of many ranks that are nearly as loaded. With a threshold
+ * that suits 8 ranks, plans end at a skew of 1.5, and passes are too slow for the next change of popularity.
+ */
+export function minGainPerCopy (ranks: number): number {
+  return MIN_GAIN_PER_ROUND / ranks
+}
 /** Time in which the copies of one plan are made; passes are slow until then, and take longer meanwhile. */
 const COPY_BUDGET_MS = 200
 /** With more copies, a plan takes the lead longer than it gains. */
