--- a/src/state/__tests__/popularity-replay.spec.ts
+++ b/src/state/__tests__/popularity-replay.spec.ts
@@ -163,7 +163,7 @@
 })
 
 // Guards against a threshold for a copy that no copy in a large group reaches, since each relieves one rank of many.
-test.each([8, 12, 32, 63, 129])('plans for a group of %i ranks leave little to gain', ranks => {
+test.each([4, 8, 12, 32, 63, 129])('plans for a group of %i ranks leave little to gain', ranks => {
   const [sets, experts] = [4, ranks * 4]
   const limits = limitsOf(ranks, 5, 2, 420)
   const counts = Array.from({ length: sets }, (_, set) => Array.from({ length: experts }, (_, expert) =>
--- a/src/state/expert-rebalance.ts
+++ b/src/state/expert-rebalance.ts
@@ -38,6 +38,8 @@
  * of the mean load of a rank. All ranks copy at the same time, so the passes are slow for as long as with one copy.
  */
 const MIN_GAIN_PER_ROUND = 0.48
+/** The same for one copy in a small group. */
+const MAX_GAIN_PER_COPY = 0.06
 
 /**
  * Minimum gain that is worth a copy in a group of this size.
@@ -46,7 +48,7 @@
  * that suits 8 ranks, plans end at a skew of 1.5, and passes are too slow for the next change of popularity.
  */
 export function minGainPerCopy (ranks: number): number {
-  return MIN_GAIN_PER_ROUND / ranks
+  return Math.min(MAX_GAIN_PER_COPY, MIN_GAIN_PER_ROUND / ranks)
 }
 /** Time in which the copies of one plan are made; passes are slow until then, and take longer meanwhile. */
 const COPY_BUDGET_MS = 200
