expert map switch: count the held step from the begin of its pass

Callers saw: streams with pauses above the bound for a second after each change of popularity.

Cause: the step to hold was counted from the time of each rank's reading, as if the pass had only begun then, and with a pass time measured over 300 ms or more.

Change: the lead notes when each step was first seen at any rank. The readings of 32 ranks show it within some ms. The held step is the first that is expected to begin after the orders have arrived; a pass that is overdue may begin at once.

Measured: the new test failed before (a step 300 ms ahead, at most 243 ms allowed: the time for the orders, one pass, and the gap between two readings).

--- a/src/state/__tests__/rank-switch.spec.ts
+++ b/src/state/__tests__/rank-switch.spec.ts
@@ -1,5 +1,6 @@
 import * as fc from 'fast-check'
 import * as vitest from 'vitest'
+import * as rankSwitch from '../rank-switch.js'
 import * as rankSwitchSimulation from './rank-switch-simulation.js'
 
 const { expect, test } = vitest
@@ -108,3 +109,44 @@
   expect(result.mixedSteps).toEqual([])
   expect(result.switches).toBeGreaterThanOrEqual(60)
 })
+
+const [RANKS, PASS_MS, READ_INTERVAL_MS] = [32, 150, 100]
+/** Time in which a hold arrives and all ranks are armed. */
+const ORDERS_MS = 80
+
+/** States of ranks that are read in turn, at the last reading of each before `atMs`. */
+function statesAt (atMs: number, preparedVersion: number | undefined): Map<number, rankSwitch.RankState> {
+  return new Map(Array.from({ length: RANKS }, (_, rank) => {
+    const readAtMs = atMs - (atMs + rank * READ_INTERVAL_MS / RANKS) % READ_INTERVAL_MS
+    return [rank, {
+      rank,
+      epoch: 1,
+      isOpen: true,
+      step: Math.floor(readAtMs / PASS_MS),
+      mapVersion: 0,
+      preparedVersion,
+      armed: undefined,
+      heldStep: undefined,
+      slowdown: 1,
+      readAtMs
+    }]
+  }))
+}
+
+// Guards against passes that still run with an outdated map when all ranks have the next one.
+test('a group with slow passes switches before the first pass for which the orders arrive in time', () => {
+  fc.assert(fc.property(fc.integer({ min: 0, max: PASS_MS }), offsetMs => {
+    const state = rankSwitch.createSwitchState(1, RANKS, 0, 1, 0)
+    const preparedAtMs = 1_500 + offsetMs
+    let version: number | undefined
+    for (let atMs = 900; atMs <= preparedAtMs; atMs += 10) {
+      rankSwitch.advance(state, statesAt(atMs, atMs + 10 > preparedAtMs ? version : undefined), atMs)
+      if (version === undefined && rankSwitch.isIdle(state)) version = rankSwitch.propose(state, [], atMs)
+    }
+    const nowMs = preparedAtMs - preparedAtMs % 10
+    if (state.phase.kind !== 'holding') throw new Error(`the phase is ${state.phase.kind}`)
+    const beginsInMs = state.phase.step * PASS_MS - nowMs
+    expect(beginsInMs).toBeLessThanOrEqual(ORDERS_MS + PASS_MS + READ_INTERVAL_MS / RANKS + 10)
+    expect(beginsInMs).toBeGreaterThan(0)
+  }), { numRuns: 60 })
+})
--- a/src/state/rank-switch.ts
+++ b/src/state/rank-switch.ts
@@ -44,8 +44,9 @@
   /** Undefined until it is known. */
   mapInUse: rankControl.ExpertMap | undefined
   phase: SwitchPhase
-  /** Duration of the group's passes, and the last reading of the step that it was measured from. */
+  /** Duration of the group's last pass. */
   passMs: number
+  /** The last step that has begun, and when a rank was first read with it. */
   passSample: { step: number, atMs: number } | undefined
   /** When the last order was sent to each rank, to decide when it is sent again. */
   orderedAtMs: Map<number, number>
@@ -86,8 +87,8 @@
 const HOLD_MARGIN_MS = 60
 /** Assumed duration of a pass until one is measured; passes under typical load take longer. */
 const INITIAL_PASS_MS = 40
-/** Minimum time between the two readings of the step from which the duration of a pass is measured. */
-const PASS_SAMPLE_MS = 300
+/** Shortest duration of a pass that is measured; two readings of different ranks may show steps in quick succession. */
+const MIN_PASS_MS = 10
 /** A load of experts that takes longer is abandoned; the next plan replaces it. */
 const PREPARE_TIMEOUT_MS = 6_000
 
@@ -138,24 +139,35 @@
   return { orders, entered: state.phase.kind === before ? undefined : state.phase.kind }
 }
 
+/**
+ * Notes when a new step was first seen at any rank. Each rank is read ten times a second at the most, but at other
+ * moments than the others, so that a step of a large group shows within some ms.
+ */
 function measurePassTime (state: SwitchState, known: readonly RankState[]): void {
-  const newest = known.reduce<RankState | undefined>((best, rank) =>
-    best === undefined || rank.readAtMs > best.readAtMs ? rank : best, undefined)
-  if (newest === undefined) return
   const { passSample } = state
-  if (passSample !== undefined && newest.readAtMs - passSample.atMs < PASS_SAMPLE_MS) return
-  if (passSample !== undefined && newest.step > passSample.step) {
-    state.passMs = (newest.readAtMs - passSample.atMs) / (newest.step - passSample.step)
+  const step = Math.max(-1, ...known.map(rank => rank.step))
+  if (step < 0 || step === passSample?.step) return
+  const atMs = Math.min(...known.filter(rank => rank.step === step).map(rank => rank.readAtMs))
+  if (passSample !== undefined && step > passSample.step) {
+    state.passMs = Math.max(MIN_PASS_MS, (atMs - passSample.atMs) / (step - passSample.step))
   }
-  state.passSample = { step: newest.step, atMs: newest.readAtMs }
+  state.passSample = { step, atMs }
 }
 
-/** A step that the group won't have begun yet when a hold order arrives. */
+/**
+ * The first step that is expected to begin after a hold order has arrived and all ranks are armed for it, so that the
+ * group does not have to wait.
+ *
+ * Load pattern: after a change of popularity, passes take 150 ms, and each one that begins with the outdated map is
+ * slow. A step that was counted from the time of a reading, in place of the time when its pass began, came two to three
+ * passes later.
+ */
 function nextHoldStep (state: SwitchState, known: readonly RankState[], nowMs: number): number {
-  // The margin lets all ranks be armed before the held step begins, so that the group does not have to wait.
   const marginMs = HOLD_MARGIN_MS + largeGroupDelayMs(state.size)
-  return Math.max(...known.map(rank =>
-    rank.step + 1 + Math.ceil((nowMs - rank.readAtMs + marginMs) / Math.max(1, state.passMs))))
+  const step = Math.max(state.passSample?.step ?? 0, ...known.map(rank => rank.step))
+  // A pass that takes longer than the last one, or the end of an idle time, may come at any moment.
+  const begunAtMs = Math.max(state.passSample?.step === step ? state.passSample.atMs : nowMs, nowMs - state.passMs)
+  return step + Math.max(1, Math.ceil((nowMs + marginMs - begunAtMs) / state.passMs))
 }
 
 function currentStates (state: SwitchState, ranks: ReadonlyMap<number, RankState>, nowMs: number): RankState[] {
