expert plans: notice a change of popularity in the middle of a window

Cause: the windows between consecutive samples of the counts are compared with their neighbours.

Change: a window is compared with the one before its neighbour, too.

Measured: the new test failed before (no change noticed in 1.1 s), and notices it 0.15 s after it now.

--- a/src/state/__tests__/count-window.spec.ts
+++ b/src/state/__tests__/count-window.spec.ts
@@ -91,6 +91,20 @@
   expect(changedAtMs).toEqual([1_300])
 })
 
+// Guards against a change that no two consecutive windows show, since the one with the change resembles both others.
+test('a change in the middle of a window begins a new window', () => {
+  const window = countWindow.createWindow()
+  const totals = [0, 0, 0, 0]
+  const changedAtMs: number[] = []
+  for (let atMs = 0; atMs <= 2_400; atMs += SAMPLE_MS / 2) {
+    const chosen = atMs <= 1_250 ? [60, 50, 20, 10] : [10, 20, 50, 60]
+    chosen.forEach((count, expert) => { totals[expert]! += count })
+    if (atMs % SAMPLE_MS !== 0) continue
+    if (countWindow.addSample(window, { epoch: 1, step: atMs, counts: [[...totals]] }, atMs)) changedAtMs.push(atMs)
+  }
+  expect(changedAtMs).toEqual([1_400])
+})
+
 // Guards against dropping the window, and with it most counts, for the differences between a rank's requests.
 test('requests that differ a little do not begin a new window', () => {
   const random = seededRandom()
--- a/src/state/count-window.ts
+++ b/src/state/count-window.ts
@@ -88,11 +88,16 @@
 function isChangedSince (
   samples: CountWindow['samples'], counts: rankControl.ExpertCounts, nowMs: number
 ): boolean {
-  const middle = samples.findLast(sample => nowMs - sample.atMs >= MIN_COMPARED_MS)
-  const first = middle && samples.findLast(sample => middle.atMs - sample.atMs >= MIN_COMPARED_MS)
-  if (first === undefined) return false
-  return popularityChange.isChanged(
-    differences(middle!.counts, first.counts), differences(counts, middle!.counts))
+  const before = (atMs: number): CountWindow['samples'][number] | undefined =>
+    samples.findLast(sample => atMs - sample.atMs >= MIN_COMPARED_MS)
+  const third = before(nowMs)
+  const second = third && before(third.atMs)
+  if (second === undefined) return false
+  const latest = differences(counts, third!.counts)
+  if (popularityChange.isChanged(differences(third!.counts, second.counts), latest)) return true
+  // A window with a change in its middle resembles both its neighbours, but these don't resemble each other.
+  const first = before(second.atMs)
+  return first !== undefined && popularityChange.isChanged(differences(second.counts, first.counts), latest)
 }
 
 /** How often each expert was chosen between two samples, by set. */
