expert plans: counts of a large group begin anew at a change of popularity

Cause: with more than 512 counts each agent reads them every 300 ms, the lead as well, so that it noticed a change after 0.3 to 0.6 s. At the next collection most ranks notice the change themselves and have no counts, or have counts of both sides of it.

Change: the lead reads its own counts every 100 ms in a group of any size; the other agents read as before. When it notices a change, it has all ranks take a sample, and the next plan is made of what was chosen since. Event 7111 (popularityChanged) shows when.

--- a/src/coordination/ranks/__tests__/order-sender.spec.ts
+++ b/src/coordination/ranks/__tests__/order-sender.spec.ts
@@ -130,7 +130,7 @@
 // Guards against counts that fill the link of the lead's host in each cycle.
 test('counts of a large group are added up in each failure domain', async () => {
   const collector = new countCollector.CountCollector({
-    caller, callOwnRank: async () => countsOf(1), addressesOf, signal: new AbortController().signal
+    nowMs: () => 0, caller, callOwnRank: async () => countsOf(1), addressesOf, signal: new AbortController().signal
   })
   const model = { expertSets: 1, expertsPerSet: 2 } as unknown as routingTable.EngineModel
   expect(await collector.collect(own, model)).toEqual([[0, RANKS]])
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -48,6 +48,8 @@
   readonly #ranks = new Map<number, rankSwitch.RankState>()
   readonly #directReadAtMs = new Map<number, number>()
   #state: rankSwitch.SwitchState | undefined
+  /** The group at the last advance. */
+  #own: rankControl.RankGroup | undefined
   #group = ''
   #term = 0
   #map: { version: number, epoch: number, map: rankControl.ExpertMap } | undefined
@@ -68,7 +70,7 @@
   constructor (options: MapLeadOptions) {
     this.#options = options
     this.#sender = new orderSender.OrderSender({ ...options, onState: state => { this.noteRank(state) } })
-    this.#collector = new countCollector.CountCollector(options)
+    this.#collector = new countCollector.CountCollector({ ...options, nowMs: options.runtime.nowMs })
   }
 
   /** Called when this agent becomes the lead. @param previous the agent that led before. */
@@ -79,6 +81,7 @@
     this.#state = undefined
     this.#map = undefined
     this.#changes = undefined
+    this.#own = undefined
     this.#skew = undefined
     this.#ranks.clear()
     this.#fencedRanks.clear()
@@ -109,8 +112,12 @@
 
   /** Called when the requests of this agent's own rank have begun to choose other experts. */
   notePopularityChange (): void {
+    const model = this.#options.engine()
     this.#collectedCounts = undefined
     this.#collectSoon()
+    if (this.#own === undefined || model === undefined || !this.#options.isLeading(this.#term)) return
+    this.#options.runtime.log.emit('popularityChanged', { epoch: this.#own.epoch, phase: this.#state?.phase.kind })
+    this.#collector.start(this.#own, model)
   }
 
   #collectSoon (): void {
@@ -128,6 +135,7 @@
       this.#fencedRanks.clear()
     }
     if (!own.isOpen) return
+    this.#own = own
     this.#fenceAll(own)
     this.#state.mapInUse = this.#knownMap(own)
     const step = rankSwitch.advance(this.#state, this.#ranks, nowMs())
--- a/src/coordination/ranks/rank-executor.ts
+++ b/src/coordination/ranks/rank-executor.ts
@@ -114,10 +114,10 @@
   }
 
   async #readCounts (): Promise<void> {
-    const { engine, group, rank, runtime: { nowMs }, signal } = this.#options
+    const { engine, group, ownTerm, rank, runtime: { nowMs }, signal } = this.#options
     const model = engine()
     if (model === undefined || model.expertSets === 0 || group()?.isOpen !== true) return
-    const intervalMs = countWindow.sampleIntervalMs(model.expertSets * model.expertsPerSet)
+    const intervalMs = countWindow.sampleIntervalMs(model.expertSets * model.expertsPerSet, ownTerm() !== undefined)
     if (nowMs() - this.#countsReadAtMs < intervalMs - TIMER_TOLERANCE_MS) return
     this.#countsReadAtMs = nowMs()
     const counts = await rank.counts(model.expertSets, signal)
--- a/src/state/count-window.ts
+++ b/src/state/count-window.ts
@@ -46,9 +46,12 @@
 const MANY_COUNTS = 512
 const MANY_COUNTS_INTERVAL_MS = 300
 
-/** Interval at which an agent reads this number of counts. */
-export function sampleIntervalMs (counts: number): number {
-  return counts > MANY_COUNTS ? MANY_COUNTS_INTERVAL_MS : SAMPLE_INTERVAL_MS
+/**
+ * Interval at which an agent reads this number of counts. The lead alone follows a change of popularity, so the other
+ * agents of a large group need fewer samples.
+ */
+export function sampleIntervalMs (counts: number, isLeading: boolean): number {
+  return counts > MANY_COUNTS && !isLeading ? MANY_COUNTS_INTERVAL_MS : SAMPLE_INTERVAL_MS
 }
 
 /** Samples are kept for the longest window that a lead asks for. */
