transport: a status outside 200 to 599 is no answer, at every caller

Callers of other systems saw an answer of status 000. Here the platform's entries refused statuses below 200 from backend servers, but 600 to 999, which are no statuses either (RFC 9110, section 15), went to the client; calls between processes, to ranks and to the store took 000 to 199 for answers (the store's and the ranks' callers then refused them, as they look for 200). The product's own path passed on 600 to 999; 000 to 199 failed there by an assertion of the HTTP client.

Change: one check, `responseStatus.isFinal`, where a response is read: entries, calls between processes, and the client of backend servers. An attempt with such a status may have run, and is retried only where that is safe.

--- a/src/coordination/gateway/whole-response.ts
+++ b/src/coordination/gateway/whole-response.ts
@@ -5,12 +5,11 @@
 import type * as http from 'node:http'
 import * as answerEnd from '../../transport/answer-end.js'
 import * as bufferBudget from '../../transport/buffer-budget.js'
+import * as responseStatus from '../../transport/response-status.js'
 import type * as backendLimits from '../../state/backend-limits.js'
 import type * as callCodec from '../../protocol/call-codec.js'
 import type * as call from './call.js'
 
-const MIN_FINAL_STATUS = 200
-
 export type ReadResult =
   | { kind: 'whole', body: Buffer, framing: call.BodyFraming }
   | { kind: 'incomplete', reason: string }
@@ -53,8 +52,7 @@
 export function checkResponse (
   attemptId: string | undefined, status: number, head: callCodec.ResponseHead
 ): call.AttemptOutcome | undefined {
-  // Node passes on any number of three digits, and throws for these when it sends them.
-  if (status < MIN_FINAL_STATUS) return { kind: 'failed', reason: `status ${status} is invalid` }
+  if (!responseStatus.isFinal(status)) return { kind: 'failed', reason: `status ${status} is invalid` }
   if (isOfAnotherRequest(attemptId, head)) return { kind: 'failed', reason: 'the response belongs to another request' }
   if (head.isNotRun) {
     return { kind: 'not_run', reason: `status ${status}`, cause: head.isOtherInstance ? 'replaced' : 'declined' }
--- a/src/transport/backend-client.ts
+++ b/src/transport/backend-client.ts
@@ -6,6 +6,7 @@
 import * as undici from 'undici'
 import type * as headers from '../protocol/headers.js'
 import * as resetConnector from './reset-connector.js'
+import * as responseStatus from './response-status.js'
 
 export interface BackendRequest {
   /** IP address and port. */
@@ -66,6 +67,10 @@
           bodyTimeout: request.timeoutMs,
           signal: request.signal
         })
+        if (!responseStatus.isFinal(response.statusCode)) {
+          response.body.on('error', () => {}).destroy()
+          return { kind: 'no_answer', detail: `status ${response.statusCode} is invalid` }
+        }
         return { kind: 'answer', status: response.statusCode, headers: response.headers, body: response.body }
       } catch (error) {
         const { code, message, syscall } = error as NodeJS.ErrnoException
--- a/src/transport/http-call.ts
+++ b/src/transport/http-call.ts
@@ -6,6 +6,7 @@
 import type * as net from 'node:net'
 import * as answerEnd from './answer-end.js'
 import * as heldBytes from './held-bytes.js'
+import * as responseStatus from './response-status.js'
 
 export interface HttpCall {
   /** IP address and port. */
@@ -107,6 +108,10 @@
           return
         }
         const { statusCode = 0, headers } = response
+        if (!responseStatus.isFinal(statusCode)) {
+          fail(new Error(`status ${statusCode} is invalid`))
+          return
+        }
         resolve({ kind: 'answer', status: statusCode, headers, body: body.concat() })
       })
     })
