product: bound what services and backend servers send without end

Other operators saw a machine run out of memory with bytes that a faulty server sent until its caller closed. On the product's own path the answers of the table service, the host list, an engine's management port and an entry (at bulrushctl) were read with no limit but the time of the call, an event without its blank line was kept in full by entries and agents, and an agent held a stream without end in full.

Change: a body of JSON is read up to 16 MB (pages have 1 MB, the list of 7,000 hosts about 2), an incomplete event up to 1 MB, as on the platform, and a stream that an agent holds up to 4 MB. What is larger is given up and its connection closed. Answers on the peers' streams had a limit of 4 MB already, heads that of the HTTP client.

--- a/src/coordination/relay.ts
+++ b/src/coordination/relay.ts
@@ -129,6 +129,7 @@
     for await (const chunk of answer.body as AsyncIterable<Buffer>) {
       if (response.destroyed) return 'caller_gone'
       const whole = splitter.push(chunk)
+      if (whole === undefined) return 'broken'
       if (whole.length === 0) continue
       const events = whole.length === 1 ? whole[0]! : Buffer.concat(whole)
       onEvents(events)
--- a/src/coordination/stream-store.ts
+++ b/src/coordination/stream-store.ts
@@ -44,6 +44,8 @@
 const ABANDONED_GRACE_MS = 5_000
 const RETENTION_MS = 30_000
 const MAX_HELD_BYTES = 8 * 1024 * 1024
+/** A larger stream is treated as broken: a faulty backend server may send without end. */
+const MAX_STREAM_BYTES = 4 * 1024 * 1024
 const SWEEP_PERIOD_MS = 1_000
 
 export function createStreamStore (
@@ -67,6 +69,7 @@
     try {
       for await (const chunk of source as AsyncIterable<Buffer>) {
         const events = splitter.push(chunk)
+        if (events === undefined || held.sizeBytes > MAX_STREAM_BYTES) throw new Error('the stream is too large')
         for (const event of events) append(attemptId, held, event)
         if (events.length > 0) wakeReaders(held)
       }
--- a/src/protocol/whole-events.ts
+++ b/src/protocol/whole-events.ts
@@ -5,23 +5,33 @@
 
 const EVENT_END = Buffer.from('\n\n')
 const LINE_FEED = 0x0a
+/** A larger event is treated as a failure of the stream. */
+const MAX_EVENT_BYTES = 1024 * 1024
 
 export class WholeEvents {
   /** Chunks of the event that is not whole yet. */
   #rest: Buffer[] = []
+  #restBytes = 0
 
-  /** @returns the events that are whole now, each with the blank line that ends it. */
-  push (chunk: Buffer): Buffer[] {
+  /**
+   * @returns the events that are whole now, each with the blank line that ends it; undefined when an event exceeds the
+   * limit.
+   */
+  push (chunk: Buffer): Buffer[] | undefined {
     const events: Buffer[] = []
     let start = 0
     for (let end = this.#firstEnd(chunk); end > 0; end = endAfter(chunk, start)) {
       this.#rest.push(chunk.subarray(start, end))
       events.push(this.#rest.length === 1 ? this.#rest[0]! : Buffer.concat(this.#rest))
       this.#rest = []
+      this.#restBytes = 0
       start = end
     }
-    if (start < chunk.length) this.#rest.push(chunk.subarray(start))
-    return events
+    if (start < chunk.length) {
+      this.#rest.push(chunk.subarray(start))
+      this.#restBytes += chunk.length - start
+    }
+    return this.#restBytes > MAX_EVENT_BYTES ? undefined : events
   }
 
   /** Whether the last event is incomplete; blank lines behind an event are none. */
--- a/src/transport/engine-map-client.ts
+++ b/src/transport/engine-map-client.ts
@@ -6,6 +6,7 @@
 import * as zod from 'zod'
 import type * as platform from '../protocol/platform.js'
 import type * as mapSwitch from '../state/map-switch.js'
+import * as jsonBody from './json-body.js'
 
 const armedSchema = zod.object({ version: zod.number(), step: zod.number() }).optional()
 const snapshotSchema = zod.object({
@@ -76,7 +77,7 @@
       const response = await undici.request(`${this.#origin}${path}`, {
         method, body, signal: AbortSignal.any([signal, AbortSignal.timeout(this.#timeoutMs)])
       })
-      return { status: response.statusCode, body: await response.body.json() }
+      return { status: response.statusCode, body: await jsonBody.readJson(response.body) }
     } catch {
       return undefined
     }
--- a/src/transport/host-list-client.ts
+++ b/src/transport/host-list-client.ts
@@ -7,6 +7,7 @@
 import * as zod from 'zod'
 import type * as platform from '../protocol/platform.js'
 import * as socketAddress from '../protocol/socket-address.js'
+import * as jsonBody from './json-body.js'
 
 const listSchema = zod.array(zod.unknown())
 const address = zod.string().refine(socketAddress.isSocketAddress)
@@ -43,7 +44,7 @@
       const response = await undici.request(this.#url, {
         signal: AbortSignal.any([signal, AbortSignal.timeout(this.#timeoutMs)])
       })
-      const list = listSchema.safeParse(await response.body.json())
+      const list = listSchema.safeParse(await jsonBody.readJson(response.body))
       if (response.statusCode !== 200 || !list.success) {
         return { kind: 'unavailable', detail: `host list: status ${response.statusCode}` }
       }
--- a/src/transport/operator-client.ts
+++ b/src/transport/operator-client.ts
@@ -5,6 +5,7 @@
 
 import * as undici from 'undici'
 import * as wire from '../protocol/operator-api.js'
+import * as jsonBody from './json-body.js'
 
 export interface OperatorClientOptions {
   /** Base URLs of entries, in order of preference. */
@@ -85,6 +86,6 @@
       body: request.body === undefined ? null : JSON.stringify(request.body),
       signal: AbortSignal.timeout(Math.ceil(timeoutMs))
     })
-    return { status: response.statusCode, body: await response.body.json() as Record<string, unknown> }
+    return { status: response.statusCode, body: await jsonBody.readJson(response.body) as Record<string, unknown> }
   }
 }
--- a/src/transport/table-client.ts
+++ b/src/transport/table-client.ts
@@ -6,6 +6,7 @@
 
 import * as undici from 'undici'
 import type * as platform from '../protocol/platform.js'
+import * as jsonBody from './json-body.js'
 
 export interface TableClientOptions {
   /** Base URL of the service. */
@@ -106,7 +107,7 @@
         body: JSON.stringify(operation === 'TransactWriteItems' ? body : { TableName: this.#options.tableName, ...body }),
         signal: AbortSignal.any([signal, AbortSignal.timeout(this.#options.timeoutMs)])
       })
-      const answer = await response.body.json() as Record<string, unknown>
+      const answer = await jsonBody.readJson(response.body) as Record<string, unknown>
       if (response.statusCode === 200) return { kind: 'ok', value: { status: 200, body: answer } }
       const type = String(answer['__type'] ?? '')
       if (isConflictAllowed && type.endsWith('TransactionCanceledException')) {
