gateway: incomplete events share the memory of responses

Cause: each stream may hold an incomplete event of up to 1 MB, and nothing bounded all streams together. A faulty service that sends most of an event and then nothing makes several hundred streams hold several hundred MB.

Change: they are counted in the memory that whole responses share (max-buffered-response-bytes, 12 MB); the largest one fails when they need more. The budget counts shares of bytes now, of which a buffered body is one kind.

--- a/src/coordination/gateway/attempt.ts
+++ b/src/coordination/gateway/attempt.ts
@@ -150,6 +150,7 @@
       headers: ctx.shutdown.isDraining ? [...headers, 'Connection', 'close'] : headers,
       status,
       nowMs: ctx.nowMs,
+      budget: ctx.responseBuffers,
       onEvent: isProgress => {
         watch.noteEvent()
         if (isProgress) options.onProgress()
--- a/src/coordination/gateway/stream-attempt.ts
+++ b/src/coordination/gateway/stream-attempt.ts
@@ -6,6 +6,7 @@
 import type * as http from 'node:http'
 import * as eventStream from '../../protocol/event-stream.js'
 import * as answerEnd from '../../transport/answer-end.js'
+import * as bufferBudget from '../../transport/buffer-budget.js'
 import type * as call from './call.js'
 
 /** How much of the stream the client has received. */
@@ -31,6 +32,8 @@
   headers: string[]
   status: number
   nowMs: () => number
+  /** Memory that incomplete events share with all responses; the largest one fails when they need more. */
+  budget: bufferBudget.BufferBudget
   /** Called after an event was forwarded. @param isProgress false for a comment in a stream that goes on elsewhere. */
   onEvent: (isProgress: boolean) => void
   signal: AbortSignal
@@ -62,15 +65,17 @@
  * empty response does not show that the backend server knows the stream.
  */
 export async function relayStream (source: http.IncomingMessage, options: StreamOptions): Promise<call.AttemptOutcome> {
-  const { response, progress } = options
+  const { budget, response, progress } = options
   const isContinued = progress.hasHead
   const continuedAfterId = progress.lastEventId
   const splitter = new eventStream.EventSplitter()
   return await new Promise(resolve => {
     const fail = (reason: string): void => {
       source.destroy()
+      bufferBudget.close(budget, share)
       resolve({ kind: 'failed', reason })
     }
+    const share = bufferBudget.openShare(budget, () => { fail('an event is too large') })
     source.on('data', (chunk: Buffer) => {
       if (options.signal.aborted) return
       const events = splitter.push(chunk)
@@ -85,6 +90,7 @@
           return
         }
       }
+      bufferBudget.resize(budget, share, splitter.takenBytes)
       if (response.writableLength > MAX_UNREAD_BYTES) {
         source.pause()
         response.once('drain', () => { source.resume() })
@@ -105,6 +111,7 @@
       else if (isContinued && progress.lastEventId === continuedAfterId) fail('the stream has no further event')
       else {
         response.end()
+        bufferBudget.close(budget, share)
         resolve({ kind: 'delivered', status: options.status })
       }
     })
--- a/src/protocol/event-stream.ts
+++ b/src/protocol/event-stream.ts
@@ -38,6 +38,11 @@
     return this.#keep(chunk.subarray(start)) ? events : undefined
   }
 
+  /** Memory that the incomplete event takes. */
+  get takenBytes (): number {
+    return this.#rest.length
+  }
+
   /** Whether the last event is incomplete. */
   get hasPartialEvent (): boolean {
     return this.#restBytes > 0
--- a/src/transport/buffer-budget.ts
+++ b/src/transport/buffer-budget.ts
@@ -8,40 +8,64 @@
 export interface BufferBudget {
   maxBytes: number
   usedBytes: number
-  buffers: Set<CountedBuffer>
+  shares: Set<BudgetShare>
 }
 
-export interface CountedBuffer {
-  readonly body: heldBytes.HeldBytes
-  /** Called when the buffer is given up; its bytes are released. */
+/** Bytes that one owner holds. */
+export interface BudgetShare {
+  bytes: number
+  /** Called when the share is given up. Its owner releases the bytes. */
   readonly onGivenUp: () => void
 }
 
+export interface CountedBuffer extends BudgetShare {
+  readonly body: heldBytes.HeldBytes
+}
+
 export function createBudget (maxBytes: number): BufferBudget {
-  return { maxBytes, usedBytes: 0, buffers: new Set() }
+  return { maxBytes, usedBytes: 0, shares: new Set() }
 }
 
-export function openBuffer (budget: BufferBudget, onGivenUp: () => void): CountedBuffer {
-  const buffer: CountedBuffer = { body: new heldBytes.HeldBytes(), onGivenUp }
-  budget.buffers.add(buffer)
-  return buffer
+export function openShare (budget: BufferBudget, onGivenUp: () => void): BudgetShare {
+  const share = { bytes: 0, onGivenUp }
+  budget.shares.add(share)
+  return share
 }
 
-/** Appends a chunk; ignored after the buffer was given up or closed. */
-export function append (budget: BufferBudget, buffer: CountedBuffer, chunk: Buffer): void {
-  if (!budget.buffers.has(buffer)) return
-  const before = buffer.body.takenBytes
-  buffer.body.append(chunk)
-  budget.usedBytes += buffer.body.takenBytes - before
+/** Sets what a share holds; ignored after it was given up or closed. */
+export function resize (budget: BufferBudget, share: BudgetShare, bytes: number): void {
+  if (!budget.shares.has(share)) return
+  budget.usedBytes += bytes - share.bytes
+  share.bytes = bytes
   while (budget.usedBytes > budget.maxBytes) {
-    const largest = [...budget.buffers].reduce((a, b) => (b.body.takenBytes > a.body.takenBytes ? b : a))
+    const largest = [...budget.shares].reduce((a, b) => (b.bytes > a.bytes ? b : a))
     close(budget, largest)
     largest.onGivenUp()
-    largest.body.clear()
   }
 }
 
-/** Ends the count of a buffer. Its bytes stay with the caller. */
-export function close (budget: BufferBudget, buffer: CountedBuffer): void {
-  if (budget.buffers.delete(buffer)) budget.usedBytes -= buffer.body.takenBytes
+/** Ends the count of a share. Its bytes stay with the caller. */
+export function close (budget: BufferBudget, share: BudgetShare): void {
+  if (budget.shares.delete(share)) budget.usedBytes -= share.bytes
+}
+
+export function openBuffer (budget: BufferBudget, onGivenUp: () => void): CountedBuffer {
+  const body = new heldBytes.HeldBytes()
+  const buffer: CountedBuffer = {
+    bytes: 0,
+    body,
+    onGivenUp: () => {
+      onGivenUp()
+      body.clear()
+    }
+  }
+  budget.shares.add(buffer)
+  return buffer
+}
+
+/** Appends a chunk; ignored after the buffer was given up or closed. */
+export function append (budget: BufferBudget, buffer: CountedBuffer, chunk: Buffer): void {
+  if (!budget.shares.has(buffer)) return
+  buffer.body.append(chunk)
+  resize(budget, buffer, buffer.body.takenBytes)
 }
