expert plans: start from the map that the group uses, and give up one that a rank refuses

Callers saw: streams of a whole group late for six seconds and more.

Cause: a switch ends when any rank reports the new map, but the next plan took the version that the lead had last read at its own rank, up to 100 ms earlier. A plan made in between started from the map before: it gained little, or asked ranks for more new experts than they can load beside the real map. These refuse (409), again and again, and the lead waited for them for six seconds, with the group on an outdated map.

Change: the map in use is the newest that any rank of the epoch reports (a pass begins at all ranks together). A refused map is given up at once (event 7112), and the next plan is made at the usual interval. Counts without a pass are collected again after 40 ms.

--- a/src/coordination/ranks/__tests__/order-sender.spec.ts
+++ b/src/coordination/ranks/__tests__/order-sender.spec.ts
@@ -77,7 +77,7 @@
 }
 
 const context: orderSender.OrderContext = {
-  group: 'g', own, term: 1, compact: order => order, onOutcome: (rank, outcome) => { outcomes.set(rank, outcome) }
+  group: 'g', own, term: 1, compact: order => order, onOutcome: (rank, _, outcome) => { outcomes.set(rank, outcome) }
 }
 
 async function settle (): Promise<void> {
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -36,6 +36,8 @@
 const PLAN_INTERVAL_MS = 400
 /** Time after a change of popularity or the opening of a group in which its ranks run and count a pass. */
 const CHANGE_SETTLING_MS = 120
+/** Time after which counts are collected again when no rank had run a pass. */
+const RECOLLECT_MS = 40
 const DIRECT_READ_INTERVAL_MS = 200
 const PACE_INTERVAL_MS = 1_000
 /** Time in addition to two repeats of a rank's state after which the rank is read directly. */
@@ -114,14 +116,14 @@
   notePopularityChange (): void {
     const model = this.#options.engine()
     this.#collectedCounts = undefined
-    this.#collectSoon()
+    this.#collectSoon(CHANGE_SETTLING_MS)
     if (this.#own === undefined || model === undefined || !this.#options.isLeading(this.#term)) return
     this.#options.runtime.log.emit('popularityChanged', { epoch: this.#own.epoch, phase: this.#state?.phase.kind })
     this.#collector.start(this.#own, model)
   }
 
-  #collectSoon (): void {
-    this.#collectedAtMs = this.#options.runtime.nowMs() - PLAN_INTERVAL_MS + CHANGE_SETTLING_MS
+  #collectSoon (delayMs: number): void {
+    this.#collectedAtMs = this.#options.runtime.nowMs() - PLAN_INTERVAL_MS + delayMs
   }
 
   /** Called periodically and after each update of a rank while this agent leads. */
@@ -156,12 +158,12 @@
     const { runtime: { nowMs, log, metrics } } = this.#options
     if (nowMs() - this.#paceAtMs < PACE_INTERVAL_MS) return
     this.#paceAtMs = nowMs()
-    metrics.passMs.set(state.passMs)
+    metrics.passMs.set(state.passes.passMs)
     if (this.#skew !== undefined) metrics.expertSkew.set(this.#skew)
     log.emit('groupPace', {
       epoch: state.epoch,
-      step: state.passSample?.step,
-      passMs: Math.round(state.passMs),
+      step: state.passes.begun?.step,
+      passMs: Math.round(state.passes.passMs),
       skew: this.#skew,
       slowdown: Math.max(...[...this.#ranks.values()].map(rank => rank.slowdown)),
       phase: state.phase.kind
@@ -188,17 +190,25 @@
       own,
       term,
       compact: order => this.#compactOrder(order),
-      onOutcome: (rank, outcome) => {
+      onOutcome: (rank, order, outcome) => {
         if (term !== this.#term) return
         if (outcome === 'fenced') this.#options.onFenced()
         else if (this.#state?.epoch === own.epoch) {
           if (outcome === 'unknown') rankSwitch.noteUnanswered(this.#state, rank)
+          if (outcome === 'refused' && order.kind === 'prepare') this.#giveUpMap(rank, order.version, this.#state)
           this.#advanceSoon(own)
         }
       }
     })
   }
 
+  #giveUpMap (rank: number, version: number, state: rankSwitch.SwitchState): void {
+    const { runtime: { log, nowMs } } = this.#options
+    if (state.phase.kind !== 'preparing' || state.phase.version !== version) return
+    log.emit('mapRefused', { rank, version, epoch: state.epoch })
+    rankSwitch.notePrepareRefused(state, version, nowMs())
+  }
+
   /** Advances once for all answers that arrive together. */
   #advanceSoon (own: rankControl.RankGroup): void {
     if (this.#isAdvanceScheduled) return
@@ -210,7 +220,7 @@
   }
 
   #knownMap (own: rankControl.RankGroup): rankControl.ExpertMap | undefined {
-    const version = this.#ranks.get(own.rank)?.mapVersion ?? 0
+    const version = rankSwitch.versionInUse(this.#ranks, own.epoch) ?? 0
     if (this.#map?.epoch === own.epoch && this.#map.version === version) return this.#map.map
     return this.#options.mapOf(own.epoch, version)
   }
@@ -245,7 +255,7 @@
     this.#collector.collect(own, model).then(counts => {
       this.#collectedCounts = counts === undefined ? undefined : { counts, epoch: own.epoch }
       // A group that has just opened has run no pass yet, and its initial map is the most uneven one.
-      if (counts === undefined) this.#collectSoon()
+      if (counts === undefined) this.#collectSoon(RECOLLECT_MS)
       this.advance(own)
     }).finally(() => { this.#isCollecting = false })
   }
@@ -290,7 +300,7 @@
 
   /** Finds the map in use: the last proposed one, the initial one, or that of the ranks. @returns false if unknown. */
   async #loadMapInUse (own: rankControl.RankGroup, model: routingTable.EngineModel): Promise<boolean> {
-    const version = this.#ranks.get(own.rank)?.mapVersion ?? 0
+    const version = rankSwitch.versionInUse(this.#ranks, own.epoch) ?? 0
     if (this.#map?.epoch === own.epoch && this.#map.version === version) return true
     const prepared = this.#options.mapOf(own.epoch, version)
     if (prepared !== undefined) {
--- a/src/coordination/ranks/order-sender.ts
+++ b/src/coordination/ranks/order-sender.ts
@@ -37,7 +37,7 @@
   term: number
   /** Replaces the whole map of a prepare order by its difference from the map in use, where that is known. */
   compact: (order: rankControl.RankOrder) => rankControl.RankOrder | rankCall.PrepareChanges
-  onOutcome: (rank: number, outcome: rankControl.OrderOutcome) => void
+  onOutcome: (rank: number, order: rankControl.RankOrder, outcome: rankControl.OrderOutcome) => void
 }
 
 /**
@@ -107,7 +107,7 @@
       const outcome = this.#readOrderAnswer(answers.get(rank))
       outcomes.set(outcome ?? 'direct', (outcomes.get(outcome ?? 'direct') ?? 0) + 1)
       if (outcome === undefined) this.#sendOne(rank, order, context)
-      else context.onOutcome(rank, outcome)
+      else context.onOutcome(rank, order, outcome)
     }
     log.emit('rankOrdersRelayed', {
       relay: relay?.address,
@@ -157,7 +157,7 @@
       version: 'version' in order ? order.version : undefined,
       step: 'step' in order ? order.step : undefined
     })
-    context.onOutcome(rank, outcome ?? 'unknown')
+    context.onOutcome(rank, order, outcome ?? 'unknown')
   }
 
   async #requestState (rank: number, agent: string): Promise<void> {
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -113,6 +113,7 @@
   rankOrdersRelayed: { number: 7109, level: 'info', text: 'an order was sent to the ranks of a failure domain through one agent there' },
   groupPace: { number: 7110, level: 'info', text: 'passes and balance of the group that this agent leads, each second' },
   popularityChanged: { number: 7111, level: 'info', text: 'the requests of the rank beside the lead have begun to choose other experts' },
+  mapRefused: { number: 7112, level: 'warn', text: 'a rank refused to prepare an expert map; it is given up' },
   mapLeadTaken: { number: 7104, level: 'info', text: 'this agent leads the expert maps of its group' },
   mapLeadLost: { number: 7105, level: 'info', text: 'this agent no longer leads the expert maps of its group' },
   mapSwitchPhase: { number: 7106, level: 'info', text: 'a switch to a new expert map has reached its next phase' },
--- a/src/state/__tests__/rank-switch.spec.ts
+++ b/src/state/__tests__/rank-switch.spec.ts
@@ -150,3 +150,25 @@
     expect(beginsInMs).toBeGreaterThan(0)
   }), { numRuns: 60 })
 })
+
+// Guards against a plan that starts from the map before the last one: ranks refuse it, and none follows for seconds.
+test('the map in use is that of the rank that was read last, since all ranks switch together', () => {
+  const states = statesAt(1_500, undefined)
+  expect(rankSwitch.versionInUse(states, 1)).toBe(0)
+  states.set(7, { ...states.get(7)!, mapVersion: 4_097 })
+  expect(rankSwitch.versionInUse(states, 1)).toBe(4_097)
+  expect(rankSwitch.versionInUse(states, 2)).toBeUndefined()
+})
+
+// Guards against a group that stays on an outdated map, since the lead waits for a rank that has refused the next one.
+test('a map that a rank refuses to prepare is given up at once', () => {
+  const state = rankSwitch.createSwitchState(1, RANKS, 0, 1, 0)
+  rankSwitch.advance(state, statesAt(1_000, undefined), 1_000)
+  const version = rankSwitch.propose(state, [], 1_000)
+  rankSwitch.notePrepareRefused(state, version - 1, 1_010)
+  expect(state.phase.kind).toBe('preparing')
+  rankSwitch.notePrepareRefused(state, version, 1_010)
+  rankSwitch.advance(state, statesAt(1_200, undefined), 1_200)
+  expect(rankSwitch.isIdle(state)).toBe(true)
+  expect(rankSwitch.propose(state, [], 1_200)).toBeGreaterThan(version)
+})
--- a/src/state/rank-switch.ts
+++ b/src/state/rank-switch.ts
@@ -10,6 +10,7 @@
  * and a successor that can't reach it may undo the switch.
  */
 
+import * as passTiming from './pass-timing.js'
 import * as rankState from './rank-state.js'
 import type * as rankControl from '../protocol/rank-control.js'
 
@@ -44,10 +45,7 @@
   /** Undefined until it is known. */
   mapInUse: rankControl.ExpertMap | undefined
   phase: SwitchPhase
-  /** Duration of the group's last pass. */
-  passMs: number
-  /** The last step that has begun, and when a rank was first read with it. */
-  passSample: { step: number, atMs: number } | undefined
+  passes: passTiming.PassTiming
   /** When the last order was sent to each rank, to decide when it is sent again. */
   orderedAtMs: Map<number, number>
   /** Highest version that was sent to a rank. */
@@ -85,10 +83,6 @@
 const ABSENT_LEAD_TIMEOUT_MS = 300
 /** Time for a hold order to reach its rank before the held step begins. */
 const HOLD_MARGIN_MS = 60
-/** Assumed duration of a pass until one is measured; passes under typical load take longer. */
-const INITIAL_PASS_MS = 40
-/** Shortest duration of a pass that is measured; two readings of different ranks may show steps in quick succession. */
-const MIN_PASS_MS = 10
 /** A load of experts that takes longer is abandoned; the next plan replaces it. */
 const PREPARE_TIMEOUT_MS = 6_000
 
@@ -103,8 +97,7 @@
     previousLead,
     mapInUse: undefined,
     phase: { kind: 'recovering', sinceMs: nowMs },
-    passMs: INITIAL_PASS_MS,
-    passSample: undefined,
+    passes: passTiming.createTiming(),
     orderedAtMs: new Map(),
     highestVersion: term * VERSIONS_PER_TERM
   }
@@ -123,6 +116,23 @@
   return state.highestVersion
 }
 
+/**
+ * Version of the map in use. All ranks begin a pass with it together, so that the newest version that any rank reports
+ * is that of all, while the last readings of the others may be older than the switch.
+ *
+ * @returns undefined while no rank of the epoch is known.
+ */
+export function versionInUse (ranks: ReadonlyMap<number, RankState>, epoch: number): number | undefined {
+  const versions = [...ranks.values()].filter(rank => rank.epoch === epoch).map(rank => rank.mapVersion)
+  return versions.length === 0 ? undefined : Math.max(...versions)
+}
+
+/** Called when a rank has refused to prepare a map: the group can't switch to it, and another plan may be made. */
+export function notePrepareRefused (state: SwitchState, version: number, nowMs: number): void {
+  const { phase } = state
+  if (phase.kind === 'preparing' && phase.version === version) enterPhase(state, { kind: 'recovering', sinceMs: nowMs })
+}
+
 /**
  * Advances the switch according to the last known states of the ranks. The lead calls it periodically.
  * @returns the orders to send now.
@@ -133,41 +143,15 @@
     state.highestVersion = Math.max(
       state.highestVersion, rank.mapVersion, rank.preparedVersion ?? 0, rank.armed?.version ?? 0)
   }
-  measurePassTime(state, known)
+  passTiming.noteReadings(state.passes, known)
   const before = state.phase.kind
   const orders = ordersOf(state, known, nowMs)
   return { orders, entered: state.phase.kind === before ? undefined : state.phase.kind }
 }
 
-/**
- * Notes when a new step was first seen at any rank. Each rank is read ten times a second at the most, but at other
- * moments than the others, so that a step of a large group shows within some ms.
- */
-function measurePassTime (state: SwitchState, known: readonly RankState[]): void {
-  const { passSample } = state
-  const step = Math.max(-1, ...known.map(rank => rank.step))
-  if (step < 0 || step === passSample?.step) return
-  const atMs = Math.min(...known.filter(rank => rank.step === step).map(rank => rank.readAtMs))
-  if (passSample !== undefined && step > passSample.step) {
-    state.passMs = Math.max(MIN_PASS_MS, (atMs - passSample.atMs) / (step - passSample.step))
-  }
-  state.passSample = { step, atMs }
-}
-
-/**
- * The first step that is expected to begin after a hold order has arrived and all ranks are armed for it, so that the
- * group does not have to wait.
- *
- * Load pattern: after a change of popularity, passes take 150 ms, and each one that begins with the outdated map is
- * slow. A step that was counted from the time of a reading, in place of the time when its pass began, came two to three
- * passes later.
- */
+/** The first step that begins after the orders have reached all ranks, so that the group does not have to wait. */
 function nextHoldStep (state: SwitchState, known: readonly RankState[], nowMs: number): number {
-  const marginMs = HOLD_MARGIN_MS + largeGroupDelayMs(state.size)
-  const step = Math.max(state.passSample?.step ?? 0, ...known.map(rank => rank.step))
-  // A pass that takes longer than the last one, or the end of an idle time, may come at any moment.
-  const begunAtMs = Math.max(state.passSample?.step === step ? state.passSample.atMs : nowMs, nowMs - state.passMs)
-  return step + Math.max(1, Math.ceil((nowMs + marginMs - begunAtMs) / state.passMs))
+  return passTiming.nextStepAfter(state.passes, known, HOLD_MARGIN_MS + largeGroupDelayMs(state.size), nowMs)
 }
 
 function currentStates (state: SwitchState, ranks: ReadonlyMap<number, RankState>, nowMs: number): RankState[] {
