agents: read the ranks at different moments

Cause: agents that start together read their ranks at the same moments, so that their states reach the lead in bursts, and the lead knows when a pass began only to 100 ms.

Change: each agent begins its readings after a random part of the interval.

--- a/src/coordination/ranks/__tests__/rank-watch.spec.ts
+++ b/src/coordination/ranks/__tests__/rank-watch.spec.ts
@@ -32,7 +32,7 @@
     }
   } as unknown as rankControl.RankControl
   return new rankWatch.RankWatch({
-    runtime: { nowMs: () => Date.now(), log: { emit: () => {} } } as unknown as runtime.Runtime,
+    runtime: { nowMs: () => Date.now(), random: () => 0, log: { emit: () => {} } } as unknown as runtime.Runtime,
     rank,
     onReport: () => { regular += 1 },
     onExtraReport: () => { extra += 1 },
--- a/src/coordination/ranks/rank-watch.ts
+++ b/src/coordination/ranks/rank-watch.ts
@@ -51,7 +51,10 @@
 
   constructor (options: RankWatchOptions) {
     this.#options = options
-    const timer = setInterval(() => { this.#tick() }, READ_INTERVAL_MS)
+    // Agents that start together would read at the same moments, and their lead would get all states at once.
+    let timer = setTimeout(() => {
+      timer = setInterval(() => { this.#tick() }, READ_INTERVAL_MS)
+    }, options.runtime.random() * READ_INTERVAL_MS)
     options.signal.addEventListener('abort', () => {
       clearInterval(timer)
       clearInterval(this.#extraReads)
