expert plans: a plan has to gain 0.08 of skew

Cause: between changes of popularity a lead looked for a gain every 400 ms, and found one of 0.02 to 0.05 nearly each time. A switch takes 0.3 to 0.5 s, so that most changes came while one was in progress, and the plan that fits had to wait.

Change: a plan that lowers the mean skew by less than 0.08 is dropped. map-changes.spec.ts takes the thresholds in use, with which a plan for 63 ranks has more changes than with 0.02; its bound is as before.

--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -275,7 +275,8 @@
       maxNewPerRankAndSet: model.spareCopies,
       maxNewPerRank: expertRebalance.maxNewCopies(model.expertMegabytes, model.linkMegabitsPerSecond),
       slowdowns: Array.from({ length: own.size }, (_, rank) => Math.max(1, this.#ranks.get(rank)?.slowdown ?? 1)),
-      minGainPerCopy: expertRebalance.minGainPerCopy(own.size)
+      minGainPerCopy: expertRebalance.minGainPerCopy(own.size),
+      minGainPerPlan: expertRebalance.MIN_GAIN_PER_PLAN
     })
     this.#skew = plan.skewBefore / model.expertSets
     if (plan.copies === 0) return
--- a/src/state/__tests__/expert-rebalance.spec.ts
+++ b/src/state/__tests__/expert-rebalance.spec.ts
@@ -5,7 +5,13 @@
 const { expect, test } = vitest
 
 const LIMITS: expertRebalance.RebalanceLimits = {
-  ranks: 12, placesPerRank: 8, maxNewPerRankAndSet: 3, maxNewPerRank: 4, slowdowns: [], minGainPerCopy: 0.02
+  ranks: 12,
+  placesPerRank: 8,
+  maxNewPerRankAndSet: 3,
+  maxNewPerRank: 4,
+  slowdowns: [],
+  minGainPerCopy: 0.02,
+  minGainPerPlan: 0
 }
 const SETS = 4
 const EXPERTS = 72
--- a/src/state/__tests__/map-changes.spec.ts
+++ b/src/state/__tests__/map-changes.spec.ts
@@ -16,7 +16,13 @@
   const counts = Array.from({ length: sets }, (_, set) => Array.from({ length: experts }, (_, expert) =>
     1_000 / (1 + (expert * 31 + set * 17) % experts) ** 0.67))
   const plan = expertRebalance.rebalance(map, counts, {
-    ranks, placesPerRank: 5, maxNewPerRankAndSet: 2, maxNewPerRank: 4, slowdowns: [], minGainPerCopy: 0.02
+    ranks,
+    placesPerRank: 5,
+    maxNewPerRankAndSet: 2,
+    maxNewPerRank: 4,
+    slowdowns: [],
+    minGainPerCopy: expertRebalance.minGainPerCopy(ranks),
+    minGainPerPlan: expertRebalance.MIN_GAIN_PER_PLAN
   })
   const changes = mapChanges.changesBetween(map, plan.map)
   const sendAllMs = 62 * JSON.stringify(changes).length / LINK_BYTES_PER_MS
--- a/src/state/__tests__/popularity-replay.spec.ts
+++ b/src/state/__tests__/popularity-replay.spec.ts
@@ -80,7 +80,8 @@
     maxNewPerRankAndSet,
     maxNewPerRank: expertRebalance.maxNewCopies(expertMegabytes, 92_000),
     slowdowns: [],
-    minGainPerCopy: expertRebalance.minGainPerCopy(ranks)
+    minGainPerCopy: expertRebalance.minGainPerCopy(ranks),
+    minGainPerPlan: expertRebalance.MIN_GAIN_PER_PLAN
   }
 }
 
--- a/src/state/expert-rebalance.ts
+++ b/src/state/expert-rebalance.ts
@@ -23,6 +23,8 @@
   slowdowns: readonly number[]
   /** Minimum reduction of a set's highest rank load, in units of the mean load of a rank, that is worth a copy. */
   minGainPerCopy: number
+  /** Minimum reduction of the mean skew of the sets that is worth a switch. */
+  minGainPerPlan: number
 }
 
 export interface RebalancePlan {
@@ -50,6 +52,13 @@
 export function minGainPerCopy (ranks: number): number {
   return Math.min(MAX_GAIN_PER_COPY, MIN_GAIN_PER_ROUND / ranks)
 }
+/**
+ * Minimum gain of a plan.
+ *
+ * Load pattern: popularity changes while a switch is in progress, and the plan that fits has to wait for its end. A
+ * group whose lead looks for a gain of a few percent every 400 ms is hardly ever ready for a change.
+ */
+export const MIN_GAIN_PER_PLAN = 0.08
 /** Time in which the copies of one plan are made; passes are slow until then, and take longer meanwhile. */
 const COPY_BUDGET_MS = 200
 /** With more copies, a plan takes the lead longer than it gains. */
@@ -94,12 +103,11 @@
     newAtRank[best.change.target]! += 1
     copies += 1
   }
-  return {
-    map: placements.map(placement => placement.expertsByRank()),
-    copies,
-    skewBefore,
-    skewAfter: placements.reduce((sum, placement) => sum + placement.skew, 0)
+  const skewAfter = placements.reduce((sum, placement) => sum + placement.skew, 0)
+  if (copies === 0 || (skewBefore - skewAfter) / map.length < limits.minGainPerPlan) {
+    return { map, copies: 0, skewBefore, skewAfter: skewBefore }
   }
+  return { map: placements.map(placement => placement.expertsByRank()), copies, skewBefore, skewAfter }
 }
 
 /** Map of a newly formed group: experts are assigned to the ranks in turn. */
