product: events of up to 4 MB pass, as before the limit

Cause: bounded an incomplete event at 1 MB on the product's own path, where two tests relay and hold events of 2 MB; both failed (relay and stream store, "a large event in small chunks").

Change: 4 MB for an event, 8 MB for a stream that an agent holds. Measured: the two tests pass, and an event without end is given up at 4 MB (its test asks for less than 5).

--- a/src/coordination/stream-store.ts
+++ b/src/coordination/stream-store.ts
@@ -45,7 +45,7 @@
 const RETENTION_MS = 30_000
 const MAX_HELD_BYTES = 8 * 1024 * 1024
 /** A larger stream is treated as broken: a faulty backend server may send without end. */
-const MAX_STREAM_BYTES = 4 * 1024 * 1024
+const MAX_STREAM_BYTES = 8 * 1024 * 1024
 const SWEEP_PERIOD_MS = 1_000
 
 export function createStreamStore (
--- a/src/protocol/whole-events.ts
+++ b/src/protocol/whole-events.ts
@@ -6,7 +6,7 @@
 const EVENT_END = Buffer.from('\n\n')
 const LINE_FEED = 0x0a
 /** A larger event is treated as a failure of the stream. */
-const MAX_EVENT_BYTES = 1024 * 1024
+const MAX_EVENT_BYTES = 4 * 1024 * 1024
 
 export class WholeEvents {
   /** Chunks of the event that is not whole yet. */
