--- a/src/coordination/__tests__/stream-store.spec.ts
+++ b/src/coordination/__tests__/stream-store.spec.ts
@@ -4,6 +4,7 @@
 import * as streamStore from '../stream-store.js'
 
 const agentIncarnation = 'a'.repeat(32)
+const MAX_SENT_BYTES = 64 * 1024 * 1024
 
 async function captured (chunks: string[]): Promise<{ state: string, text: string }> {
   const env = await environment.createEnvironment({ emit: () => {} }, {} as never)
@@ -33,3 +34,20 @@
   vitest.expect(whole.state).toBe('complete')
   vitest.expect(await captured([...text])).toEqual(whole)
 })
+
+// Guards against a backend server that fills the memory of its agent with a stream that never ends.
+for (const [what, chunk] of [['events', `data: ${'x'.repeat(65_530)}\n\n`], ['an event', 'x'.repeat(65_536)]] as const) {
+  vitest.test(`a stream with ${what} without end is given up`, async () => {
+    const env = await environment.createEnvironment({ emit: () => {} }, {} as never)
+    const controller = new AbortController()
+    const store = streamStore.createStreamStore(env, { agentIncarnation, onAbandoned: () => {} }, controller.signal)
+    let sentBytes = 0
+    const source = stream.Readable.from((function * () {
+      for (; sentBytes < MAX_SENT_BYTES; sentBytes += chunk.length) yield Buffer.from(chunk)
+    })())
+    vitest.expect(await store.capture(`${'e'.repeat(32)}.1`, source)).toBe('broken')
+    vitest.expect(source.destroyed).toBe(true)
+    vitest.expect(sentBytes).toBeLessThan(MAX_SENT_BYTES / 4)
+    controller.abort()
+  })
+}
--- a/src/protocol/platform-settings.ts
+++ b/src/protocol/platform-settings.ts
@@ -31,7 +31,7 @@
   directoryAddress: { flag: 'directory-address', description: 'address for clients that ask where to connect', schema: schemas.address },
   addressLifetimeS: { flag: 'address-lifetime-s', description: 'how long clients may cache an answer of the directory, in s', fallback: '1', schema: schemas.number(0.1, 60) },
   drainTimeoutMs: { flag: 'drain-timeout-ms', description: 'time for which a backend server still serves after it has announced that it leaves, in ms', fallback: '2000', schema: schemas.integer(0, 3_600_000) },
-  maxBufferedResponseBytes: { flag: 'max-buffered-response-bytes', description: 'memory for whole responses of backend servers that are read at the same time, in bytes; the largest one fails when they need more', fallback: '12582912', schema: schemas.integer(65_536, 1_073_741_824) },
+  maxBufferedResponseBytes: { flag: 'max-buffered-response-bytes', description: 'memory for whole responses of backend servers that are read at the same time, and for incomplete events of streams, in bytes; the largest one fails when they need more', fallback: '12582912', schema: schemas.integer(65_536, 1_073_741_824) },
   retryRatio: { flag: 'retry-ratio', description: 'retries per request that all entries together may make', fallback: '0.2', schema: schemas.number(0, 10) },
   retryExtra: { flag: 'retry-extra', description: 'retries per window in addition to the ratio, for all entries together', fallback: '10', schema: schemas.number(0, 1_000_000) },
   retryWindowS: { flag: 'retry-window-s', description: 'window of the retry budget, in s', fallback: '10', schema: schemas.number(0.1, 3_600) },
