Probe for as long as it takes to send eleven probes

It sends them one after the other for one second. Traced beside 14 busy processes on one core: 9 probes, each answered with 200 within 62 to 187 ms (16 ms beside none); with 6 of them 17 and 21. So the count measured the machine. The test now goes on until a second is over and eleven probes are sent; all of them must succeed, as before.

--- a/playground/__tests__/stopped-groups.spec.ts
+++ b/playground/__tests__/stopped-groups.spec.ts
@@ -116,7 +116,8 @@
   const before = await runsOfAll(stopped)
   const [remainingEntry] = inDomain(deployment.entries, 'kista') as [cluster.EntryNode]
   const probes: operator.Probe[] = []
-  while (performance.now() < lostAtMs + BOUND_MS + 1_000) {
+  // On a busy machine, ten probes may take more than a second.
+  while (performance.now() < lostAtMs + BOUND_MS + 1_000 || probes.length <= 10) {
     probes.push(await operator.probe(remainingEntry.address, 'lookup', cluster.teamKey('support')))
   }
   vitest.expect(probes.filter(one => one.status !== 200)).toEqual([])
