tests: an operator's command gives up an answer without end

The limit of holds for bulrushctl, too, but no test showed it. With the whole body read instead, the test fails (402 MB sent); with the limit it passes, and the change is reported as one that may have been applied.

--- a/src/transport/__tests__/endless-answers.spec.ts
+++ b/src/transport/__tests__/endless-answers.spec.ts
@@ -6,6 +6,7 @@
 import * as engineMapClient from '../engine-map-client.js'
 import * as hostListClient from '../host-list-client.js'
 import * as jsonBody from '../json-body.js'
+import * as operatorClient from '../operator-client.js'
 import * as tableClient from '../table-client.js'
 
 const { afterEach, beforeEach, expect, test } = vitest
@@ -61,6 +62,16 @@
   expect(sentBytes).toBeLessThan(MAX_SENT_BYTES)
 })
 
+test('an answer of an entry to an operator without end is given up, and the change may have been applied', async () => {
+  const client = new operatorClient.OperatorClient({
+    // Too short for a second attempt.
+    entryUrls: [url], operatorKey: 'k', operator: 'o', timeoutMs: 1_000
+  })
+  const result = await client.request({ method: 'PUT', path: '/hosts/h', body: {}, operationId: 'id' })
+  expect(result).toMatchObject({ kind: 'unavailable', mayHaveApplied: true })
+  expect(sentBytes).toBeLessThan(MAX_SENT_BYTES)
+})
+
 test('a body of JSON up to the limit is read whole', async () => {
   expect(await jsonBody.readJson(stream.Readable.from([Buffer.from('{"a":'), Buffer.from('1}')]))).toEqual({ a: 1 })
   await expect(jsonBody.readJson(stream.Readable.from([Buffer.from('{"a":')]))).rejects.toThrow()
