expert plans: drop counts that were on their way when popularity changed

Counts of a collection that began before the last change are not used, also when the plan waits for the map in use meanwhile. The test failed before: a map for the popularity before the change was planned.

--- a/src/coordination/ranks/__tests__/map-lead.spec.ts
+++ b/src/coordination/ranks/__tests__/map-lead.spec.ts
@@ -35,6 +35,8 @@
 let popular: number | undefined
 /** Maps that the ranks were told to prepare, as changes of a base version or whole. */
 let prepared: { version: number, map: rankControl.ExpertMap, base: number | undefined, atMs: number }[]
+/** Time that ranks take to answer with their counts. */
+let countsDelayMs: number
 /** Rank that refuses to prepare maps. */
 let refusing: number | undefined
 /** Version that the latest reading of rank 1 shows in use; those of the others are older. */
@@ -47,6 +49,7 @@
   controller = new AbortController()
   popular = 1
   prepared = []
+  countsDelayMs = 0
   refusing = undefined
   versionOfRank1 = 0
   lead = new mapLead.MapLead({
@@ -57,9 +60,9 @@
       metrics: { mapSwitches: { inc: () => {} }, passMs: { set: () => {} }, expertSkew: { set: () => {} } } as never
     },
     caller: {
-      call: async (agent: string, call: rankCall.RankCall) => answerOf(Number(agent), call)
+      call: (agent: string, call: rankCall.RankCall) => answerOf(Number(agent), call)
     } as unknown as rankCaller.RankCaller,
-    callOwnRank: async call => answerOf(own.rank, call),
+    callOwnRank: call => answerOf(own.rank, call),
     rankAt: () => { throw new Error('no rank is called directly') },
     addressesOf: rank => ({ agent: String(rank), rank: undefined, failureDomain: `d${rank}` }),
     engine: () => model,
@@ -84,8 +87,12 @@
   return countWindow.countsWithin(window, 500, 100, () => 0.5)
 }
 
-function answerOf (rank: number, call: rankCall.RankCall): rankCall.RankCallAnswer {
-  if (call.kind === 'counts') return { kind: 'counts', counts: countsOf() }
+async function answerOf (rank: number, call: rankCall.RankCall): Promise<rankCall.RankCallAnswer> {
+  if (call.kind === 'counts') {
+    const counts = countsOf()
+    if (countsDelayMs > 0) await new Promise(resolve => { setTimeout(resolve, countsDelayMs) })
+    return { kind: 'counts', counts }
+  }
   if (call.kind !== 'order') throw new Error(`unexpected call ${call.kind}`)
   const { order } = call
   const isPrepare = order.kind === 'prepare' || order.kind === 'prepare_changes'
@@ -138,6 +145,17 @@
   expect(prepared[1]!.version).toBeGreaterThan(prepared[0]!.version)
 })
 
+// Guards against a plan from counts that were on their way when popularity changed.
+test('counts of before a change that arrive after it are not used', async () => {
+  countsDelayMs = 50
+  await run(countsDelayMs - TICK_MS)
+  popular = 6
+  lead.notePopularityChange()
+  await run(2 * NEXT_PLAN_MS)
+  expect(prepared.map(({ map }) => copiesOf(map, 1))).toEqual([1])
+  expect(copiesOf(prepared[0]!.map, 6)).toBe(RANKS)
+})
+
 // Guards against a group that stays on an outdated map for seconds, since a rank has refused the next one.
 test('a map that a rank refuses is followed by another one', async () => {
   refusing = 2
--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -59,8 +59,10 @@
   #changes: rankCall.PrepareChanges | undefined
   #previousLead: rankSwitch.PreviousLead | undefined
   /** Counts for the next plan. */
-  #collectedCounts: { counts: number[][], epoch: number } | undefined
+  #collectedCounts: { counts: number[][], epoch: number, popularityChanges: number } | undefined
   #collectedAtMs = -Infinity
+  /** Changes of popularity so far: what was collected before the last one is outdated. */
+  #popularityChanges = 0
   /** Mean over the sets of the most loaded rank's load, by the last counts; undefined before the first ones. */
   #skew: number | undefined
   #paceAtMs = -Infinity
@@ -115,6 +117,7 @@
   /** Called when the requests of this agent's own rank have begun to choose other experts. */
   notePopularityChange (): void {
     const model = this.#options.engine()
+    this.#popularityChanges += 1
     this.#collectedCounts = undefined
     this.#collectSoon(CHANGE_SETTLING_MS)
     if (this.#own === undefined || model === undefined || !this.#options.isLeading(this.#term)) return
@@ -262,8 +265,10 @@
     if (this.#isPlanningStopped || this.#isCollecting || nowMs() - this.#collectedAtMs < PLAN_INTERVAL_MS) return
     this.#isCollecting = true
     this.#collectedAtMs = nowMs()
+    const popularityChanges = this.#popularityChanges
     this.#collector.collect(own, model).then(counts => {
-      this.#collectedCounts = counts === undefined ? undefined : { counts, epoch: own.epoch }
+      if (popularityChanges !== this.#popularityChanges) return
+      this.#collectedCounts = counts && { counts, epoch: own.epoch, popularityChanges }
       // A group that has just opened has run no pass yet, and its initial map is the most uneven one.
       if (counts === undefined) this.#collectSoon(RECOLLECT_MS)
       this.advance(own)
@@ -277,7 +282,7 @@
     if (model === undefined || collected?.epoch !== own.epoch || !await this.#loadMapInUse(own, model)) return
     const state = this.#state
     if (this.#isPlanningStopped || state === undefined || !rankSwitch.isIdle(state) || state.epoch !== own.epoch) return
-    if (this.#map === undefined) return
+    if (this.#map === undefined || collected.popularityChanges !== this.#popularityChanges) return
     const startedAtMs = nowMs()
     const plan = expertRebalance.rebalance(this.#map.map, collected.counts, {
       ranks: own.size,
