signals: log none after the event that the process has stopped

The process logs that it has stopped, waits until its log is written, and exits; a signal that came in between was logged after it, with the effect none. Operators and supervisors read the last line as the end.

The lifecycle passes on no signals once the program has closed. They did nothing from then on; their handlers stay, so that none ends the process by its default action before its log is written. The test failed before (two events signalReceived, bound one); signals.spec.ts passes.

--- a/src/bin/process-lifecycle.ts
+++ b/src/bin/process-lifecycle.ts
@@ -67,7 +67,14 @@
     signals: earlySignals.HeldSignals, start: () => Promise<P>, announceReady: (program: P) => void
   ): Promise<void> {
     signals.passTo(signal => { this.#receive(signal) })
-    if (this.signal.aborted) return
+    if (!this.signal.aborted) await this.#runProgram(start, announceReady)
+    // The last event of a process is that it has stopped, which its caller logs next.
+    signals.passTo(() => {})
+  }
+
+  async #runProgram <P extends Drainable> (
+    start: () => Promise<P>, announceReady: (program: P) => void
+  ): Promise<void> {
     this.#advance({ kind: 'opening' })
     start().then(program => {
       this.#program = program
