--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -1,6 +1,6 @@
 /**
- * Frame of a case: runs it with or without its disruption, writes the record and ends with the verdict. Exit codes are 0
- * if the rule held, 1 if it was broken, and 2 if the case could not run.
+ * Frame of a case: runs it with or without its disruption, writes the record and ends with the verdict. The exit code
+ * is 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
  */
 
 import * as fs from 'node:fs'
--- a/review/lib-2/client.mjs
+++ b/review/lib-2/client.mjs
@@ -14,10 +14,10 @@
 
 /**
  * Sends a request and reads until the answer is complete or the connection ends.
- * @param options.onSocket called with the socket, for a client that stops reading for a while.
+ * @param options.stallMs time without bytes after which the client leaves, as it does with a stream.
  * @returns status 0 if no whole head has come.
  */
-export async function send (address, request, { timeoutMs = 15_000, onSocket } = {}) {
+export async function send (address, request, { timeoutMs = 15_000, stallMs } = {}) {
   const [host, port] = address.split(':')
   return await new Promise(resolve => {
     const sentAtMs = performance.now()
@@ -28,13 +28,20 @@
       if (isDone) return
       isDone = true
       clearTimeout(timer)
+      clearTimeout(stallTimer)
       socket.destroy()
       resolve({ ...reader.answer(end === 'closed'), end, sentAtMs, endedAtMs: performance.now() })
     }
     const timer = setTimeout(() => { finish('timeout') }, timeoutMs)
-    onSocket?.(socket)
+    let stallTimer
+    const awaitBytes = () => {
+      clearTimeout(stallTimer)
+      if (stallMs !== undefined) stallTimer = setTimeout(() => { finish('stalled') }, stallMs)
+    }
+    awaitBytes()
     socket.on('connect', () => { socket.write(encodeRequest(request)) })
     socket.on('data', chunk => {
+      awaitBytes()
       reader.push(chunk)
       if (reader.hasEnded) finish('complete')
     })
--- a/review/lib-2/server.mjs
+++ b/review/lib-2/server.mjs
@@ -16,14 +16,19 @@
   runs = []
   #service
   #handler
+  #control
   #server = http.createServer((request, response) => {
     this.#handle(request, response).catch(() => { response.destroy() })
   })
 
-  /** @param handler called with `{ request, response, body, headers, server }` for each request that runs. */
-  constructor (service, handler) {
+  /**
+   * @param handler called with `{ request, response, body, headers, server }` for each request that runs.
+   * @param control called with `(request, response, body)` for each request; true if it was a call of the platform's.
+   */
+  constructor (service, handler, control = () => false) {
     this.#service = service
     this.#handler = handler
+    this.#control = control
   }
 
   async start (ip) {
@@ -37,17 +42,18 @@
   }
 
   /** Entry in the list of servers. */
-  row (state = 'ready') {
+  row (fields = {}) {
     return {
       service: this.#service,
       address: this.address,
       zone: 'zone-1',
       version: 1,
       slots: SLOTS,
-      state,
+      state: 'ready',
       'cold-remaining-ms': 0,
       sequence: 1,
-      born: this.born
+      born: this.born,
+      ...fields
     }
   }
 
@@ -55,6 +61,7 @@
     const chunks = []
     request.on('error', () => {})
     for await (const chunk of request) chunks.push(chunk)
+    if (this.#control(request, response, Buffer.concat(chunks))) return
     const attemptId = request.headers['attempt-id']
     const common = { 'Attempt-Id': attemptId, 'Server-Load': `${this.running},0,${SLOTS}` }
     const refuse = (status, headers = {}) => {
