--- a/review/10/case.mjs
+++ b/review/10/case.mjs
@@ -18,14 +18,14 @@
 const LOOKUP_INTERVAL_MS = 60
 const DRAFT_INTERVAL_MS = 400
 /** Figures of the plain requests in the site file. */
-const TIMEOUT_MS = 1_200
-const DEADLINE_MS = 2_500
+const TIMEOUT_MS = 1_500
+const DEADLINE_MS = 3_000
 /** The rule looks at a request again after this time. */
 const LATER_MS = 500
 const DRAFT_DEADLINE_MS = 8_000
 const DRAFT_EVENTS = 26
 const EVENT_INTERVAL_MS = 45
-const LOOKUP_WORK_MS = 30
+const LOOKUP_WORK_MS = 60
 const GARBAGE = Buffer.alloc(64 * 1024, '\n')
 
 await runner.runCase(import.meta.url, async ({ record, hasTrouble, onEnd }) => {
@@ -66,7 +66,7 @@
     store.put('servers', server.id, server.row())
     onEnd(() => { server.stop() })
   }
-  const timeouts = { 'timeout-ms': TIMEOUT_MS, 'target-latency-ms': 150 }
+  const timeouts = { 'timeout-ms': TIMEOUT_MS, 'target-latency-ms': 300 }
   store.put('op', 'config', serverModule.configuration(1, { routes: { status: timeouts, voucher: timeouts } }))
 
   const system = new deployment.Deployment(store.address)
--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -26,7 +26,7 @@
 const DRAFT_DEADLINE_MS = 8_000
 /** Clients leave a stream after this time without an event. */
 const STALL_MS = 2_000
-const LOOKUP_DEADLINE_MS = 2_500
+const LOOKUP_DEADLINE_MS = 3_000
 /** A kind of request that is served less often than this, compared with all requests, is starved. */
 const STARVED_SHARE = 0.25
 
@@ -59,7 +59,7 @@
   for (const state of group.ranks) store.put('servers', state.server.id, group.row(state))
   for (let index = 0; index < PLAIN_SERVERS; index++) {
     const server = new serverModule.Server('plain', async ({ response, headers }) => {
-      await client.sleep(30)
+      await client.sleep(60)
       response.writeHead(200, { ...headers, 'Content-Length': 2 }).end('ok')
     })
     await server.start(`127.77.2.${10 + index}`)
