Interim responses without end end their request

Callers saw: while a server answers one stream with interim responses (status 100) without end, plain requests at its entry got no answer for seconds.

Cause: Node's client reads on as long as such responses come, up to 2 MB of one socket in a turn, and makes an object of each of 2,600 in 64 KB. Nothing counts them.

Change: a request gets 32 interim responses at most; one more closes its connection, at the entry's own calls of servers and at callHttp, which serves the store, the ranks and the peers. undici ends such an answer itself.

--- a/src/coordination/gateway/backend-call.ts
+++ b/src/coordination/gateway/backend-call.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http'
 import type * as net from 'node:net'
 import * as answerEnd from '../../transport/answer-end.js'
+import * as interimResponses from '../../transport/interim-responses.js'
 import type * as heldBytes from '../../transport/held-bytes.js'
 
 export interface BackendCallOptions {
@@ -48,6 +49,7 @@
     const connectTimer = setTimeout(() => { request.destroy(new Error('no connection in time')) }, options.connectTimeoutMs)
     signal.addEventListener('abort', abort, { once: true })
     answerEnd.watchEnd(request)
+    interimResponses.limitInterim(request)
     request.on('socket', (socket: net.Socket) => {
       socket.setNoDelay(true)
       socket.once('connect', () => {
--- a/src/transport/http-call.ts
+++ b/src/transport/http-call.ts
@@ -6,6 +6,7 @@
 import type * as net from 'node:net'
 import * as answerEnd from './answer-end.js'
 import * as heldBytes from './held-bytes.js'
+import * as interimResponses from './interim-responses.js'
 import * as responseStatus from './response-status.js'
 
 export interface HttpCall {
@@ -120,6 +121,7 @@
       request.destroy(new Error('no answer in time'))
     }, timeoutMs)
     answerEnd.watchEnd(request)
+    interimResponses.limitInterim(request)
     request.on('socket', socket => {
       isHeldBack = idleListeners.has(socket)
       if (!isHeldBack) {
