Late streams of a stopping entry begin only if their longest response fits

Cause: whether a stream still fits was judged by an estimate, the mean of the client's hint and the usual length times what the process had seen. Lengths of a route differ by a factor of ten and the hint is right at the median only, so a share of the late streams is longer than any estimate. Nothing compared the maximum that the head states with the time that was left.

Change: after the early part of the shutdown (3 s, three eighths of a shorter one) a request begins only if the longest response that its head allows fits, at the engine's pace of a full batch times what streams of the service took lately. It holds on acceptance and at each start: queue, permit, suspected part, another attempt. Without a stated maximum, a stream needs four times what is expected until 32 of its route were seen. A request that waits for a suspected part hears of the stop. call-window.ts, the product's own path, judges completions in the same way. What has begun goes on elsewhere as before.

--- a/src/coordination/call-window.ts
+++ b/src/coordination/call-window.ts
@@ -1,6 +1,7 @@
 /**
  * Which calls an entry still accepts after SIGTERM: those that end before it has to answer whatever is open, by the
- * time that calls of the same service have taken.
+ * time that calls of the same service have taken. A completion may be as long as its maximum, however short the latest
+ * ones were.
  */
 
 import type * as environment from './environment.js'
@@ -50,8 +51,19 @@
   function latestStartMs (opened: shutdownWindow.ShutdownWindow, request: call.Call): number {
     // What is left of a stream is not known; if the entry cuts it, it is resumed once more.
     if (request.resumeFrom !== undefined) return opened.answerByMs
-    const neededMs = serviceTimes.neededMs(times, serviceOf(request), expectedMs(request), env.nowMs())
-    return shutdownWindow.latestStartMs(opened, request.deadlineAtMs, neededMs)
+    return shutdownWindow.latestStartMs(opened, request.deadlineAtMs, {
+      usualMs: neededMs(request), longestMs: longestMs(request)
+    })
+  }
+
+  function longestMs (request: call.Call): number {
+    if (request.target.kind === 'plain') return neededMs(request)
+    const longSeenMs = neededMs(request, serviceTimes.MIN_SAMPLES_OF_UNKNOWN_LENGTH)
+    return request.maxTokens === undefined ? longSeenMs : Math.max(longSeenMs, expectedMs(request))
+  }
+
+  function neededMs (request: call.Call, minSamples?: number): number {
+    return serviceTimes.neededMs(times, serviceOf(request), expectedMs(request), env.nowMs(), minSamples)
   }
 }
 
--- a/src/coordination/gateway/__tests__/suspect-gate.spec.ts
+++ b/src/coordination/gateway/__tests__/suspect-gate.spec.ts
@@ -34,21 +34,21 @@
 test('a queued request with a part that is blamed meanwhile is not sent', async () => {
   crash(callOf('r1', 's', ['a']), 'b1')
   const queued = callOf('r2', 's', ['a'])
-  expect(await gate.enter(queued, 1_000)).toBe('open')
+  expect(await gate.enter(queued, () => 1_000)).toBe('open')
   crash(callOf('r3', 's', ['a']), 'b2', ['a'])
   expect(gate.start(queued)).toBeUndefined()
-  expect(await gate.enter(queued, 1_000)).toBe('blamed')
+  expect(await gate.enter(queued, () => 1_000)).toBe('blamed')
 })
 
 test('only one of two requests with a suspected part is sent, and the other follows when a response begins', async () => {
   crash(callOf('r1', 's', ['a']), 'b1')
   const [first, second] = [callOf('r2', 's', ['a']), callOf('r3', 's', ['a'])]
-  await Promise.all([gate.enter(first, 1_000), gate.enter(second, 1_000)])
+  await Promise.all([gate.enter(first, () => 1_000), gate.enter(second, () => 1_000)])
   expect(gate.start(first)).toEqual(['a'])
   expect(gate.start(second)).toBeUndefined()
   gate.noteBegun(first)
   expect(sent).toEqual([{ kind: 'cleared', features: ['a'] }])
-  expect(await gate.enter(second, 1_000)).toBe('open')
+  expect(await gate.enter(second, () => 1_000)).toBe('open')
   expect(gate.start(second)).toEqual([])
 })
 
@@ -57,9 +57,9 @@
   crash(callOf('r1', 's', ['a', 'b']), 'b1')
   const other = callOf('plain', 'other', [])
   crash(other, 'b2')
-  expect(await gate.enter(other, 1_000)).toBe('open')
+  expect(await gate.enter(other, () => 1_000)).toBe('open')
   const call = callOf('r2', 's', ['a', 'b'])
-  expect(await gate.enter(call, 1_000)).toBe('open')
+  expect(await gate.enter(call, () => 1_000)).toBe('open')
   expect(gate.start(call)).toBeUndefined()
   nowMs = 600
   expect(gate.start(call)).toEqual(['a', 'b'])
@@ -68,9 +68,22 @@
 test('a request that waits in vain ends when it can no longer be served', async () => {
   crash(callOf('r1', 's', ['a']), 'b1')
   const first = callOf('r2', 's', ['a'])
-  await gate.enter(first, 1_000)
+  await gate.enter(first, () => 1_000)
   gate.start(first)
-  const entered = gate.enter(callOf('r3', 's', ['a']), 1_000)
+  const entered = gate.enter(callOf('r3', 's', ['a']), () => 1_000)
   nowMs = 1_001
   expect(await entered).toBe('too_late')
 })
+
+// Guards against a request that is held until its deadline although its process stops before.
+test('a request that waits ends when its process stops and it no longer fits', async () => {
+  crash(callOf('r1', 's', ['a']), 'b1')
+  const first = callOf('r2', 's', ['a'])
+  await gate.enter(first, () => 60_000)
+  gate.start(first)
+  let latestMs = 60_000
+  const entered = gate.enter(callOf('r3', 's', ['a']), () => latestMs)
+  nowMs = 10
+  latestMs = 9
+  expect(await entered).toBe('too_late')
+})
--- a/src/coordination/gateway/call-history.ts
+++ b/src/coordination/gateway/call-history.ts
@@ -3,6 +3,7 @@
  */
 
 import type * as serviceTimes from '../../state/service-times.js'
+import type * as streamPace from '../../state/stream-pace.js'
 import type * as callModule from './call.js'
 import type * as streamAttempt from './stream-attempt.js'
 
@@ -19,6 +20,8 @@
   failedResponse: callModule.WholeResponse | undefined
   /** Undefined until the first attempt. */
   timing: serviceTimes.RunningRequest | undefined
+  /** Undefined until the first attempt, and for what is no stream of an engine. */
+  stream: streamPace.RunningStream | undefined
   /** Whether the client has got a whole response. */
   isDelivered: boolean
 }
@@ -42,6 +45,7 @@
     lastFailure: '',
     failedResponse: undefined,
     timing: undefined,
+    stream: undefined,
     isDelivered: false
   }
 }
--- a/src/coordination/gateway/call.ts
+++ b/src/coordination/gateway/call.ts
@@ -78,10 +78,39 @@
   return head.maxOutputTokens > 0 ? Math.min(head.maxOutputTokens, expected) : expected
 }
 
+/** What the expected and the longest time of a response depend on. */
+export type TimedCall = Pick<Call, 'head' | 'engine' | 'route'>
+
 /** Estimated time of the response on a backend server of usual load, in ms. */
-export function expectedServiceMs (call: Pick<Call, 'head' | 'engine' | 'route'>): number {
+export function expectedServiceMs (call: TimedCall): number {
   const { engine, head, route } = call
   if (engine === undefined) return route.targetLatencyMs / 3
   const stepMs = engine.stepMs + engine.perSequenceMs * engine.slots / 2
   return head.promptTokens / engine.prefillTokensPerMs + expectedOutputTokens(head, engine) * stepMs
 }
+
+/** The stated pace leaves out the context of each request and uneven load of the experts. */
+const LONGEST_MARGIN = 1.1
+
+/**
+ * Time of the longest response that the head allows, in ms, on a backend server whose batch is full.
+ *
+ * @param pace time for each token as a multiple of the one that the engine states.
+ * @param firstResponseMs time until a response begins.
+ * @returns undefined if the head states no maximum or the service has no engine.
+ */
+export function longestServiceMs (call: TimedCall, pace: number, firstResponseMs: number): number | undefined {
+  const { engine, head } = call
+  if (engine === undefined || head.maxOutputTokens <= 0) return undefined
+  const beginsMs = Math.max(firstResponseMs, head.promptTokens / engine.prefillTokensPerMs)
+  return beginsMs + head.maxOutputTokens * fullBatchTokenMs(engine) * pace * LONGEST_MARGIN
+}
+
+/** Stated time between two events of a stream on a backend server whose batch is full, in ms. */
+export function statedIntervalMs (engine: routingTable.EngineModel): number {
+  return engine.stepsPerPass * fullBatchTokenMs(engine)
+}
+
+function fullBatchTokenMs (engine: routingTable.EngineModel): number {
+  return engine.stepMs + engine.perSequenceMs * engine.slots
+}
--- a/src/coordination/gateway/entry-program.ts
+++ b/src/coordination/gateway/entry-program.ts
@@ -115,6 +115,7 @@
       runtime: env,
       shutdownMs: options.shutdownMs,
       hasReadyPeer: () => this.#readyEntries().length > 0,
+      firstResponseMs: service => backendPool.firstResponseMs(this.#pool, service),
       arrivals: this.#arrivals
     })
     const recordsSinceMs = options.systemStart === 'first' ? -Infinity : env.nowMs()
--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -7,6 +7,7 @@
 import * as backendPool from '../../state/backend-pool.js'
 import * as routingTable from '../../state/routing-table.js'
 import * as serviceTimes from '../../state/service-times.js'
+import * as streamPace from '../../state/stream-pace.js'
 import * as callModule from './call.js'
 import * as callEnd from './call-end.js'
 import * as callHistory from './call-history.js'
@@ -52,6 +53,7 @@
     running.stop()
     const isWhole = history.isDelivered && call.head.lastEventId === undefined
     if (history.timing !== undefined) serviceTimes.noteEnded(ctx.shutdown.times, history.timing, isWhole, ctx.nowMs())
+    if (history.stream !== undefined) streamPace.noteEnded(ctx.shutdown.paces, history.stream, ctx.nowMs())
   }
 }
 
@@ -89,17 +91,17 @@
 
 /** Waits for a free slot, no longer than another attempt is wanted. */
 async function findPlace (offer: Offer): Promise<FoundPlace | NoPlace> {
-  const { ctx, call, history, reply, running, serviceMs, tokens } = offer
+  const { ctx, call, history, reply, running, tokens } = offer
   const signal = running.searchSignal()
   const candidate = { ...call, signal }
   for (;;) {
-    const entered = await ctx.suspects.enter(candidate, latestStartMs(offer))
+    const entered = await ctx.suspects.enter(candidate, () => latestStartMs(offer))
     if (entered !== 'open') {
       return { kind: 'none', endCall: () => { callEnd.endSuspected(call, history, reply, entered) } }
     }
     const queuedAtMs = ctx.nowMs()
     // A request that was held back until another one was answered may no longer fit into the shutdown.
-    if (ctx.shutdown.latestStartMs(call, serviceMs, servedMs(history)) < queuedAtMs) {
+    if (latestStartInShutdownMs(offer) < queuedAtMs) {
       ctx.suspects.leave(candidate)
       const retryAfterMs = ctx.shutdown.retryAfterMs(call.clientDeadlineAtMs - queuedAtMs)
       return {
@@ -166,6 +168,11 @@
   if (call.route.isStream && !history.progress.hasHead) running.stop()
   call.retries.noteSent()
   history.timing ??= serviceTimes.noteStarted(ctx.shutdown.times, call.route.name, serviceMs, ctx.nowMs())
+  if (call.engine !== undefined && call.route.isStream) {
+    history.stream ??= streamPace.noteStarted(
+      ctx.shutdown.paces, call.service, callModule.statedIntervalMs(call.engine), history.progress
+    )
+  }
   running.start(backend, { tokens, progress: history.progress, tried })
 }
 
@@ -173,10 +180,10 @@
  * Latest time to start the request so that the client still gets a result: before its deadline and, for a stream,
  * before the client gives up because no event arrives.
  */
-function latestStartMs ({ ctx, call, history, serviceMs }: Offer): number {
-  const doneMs = servedMs(history)
+function latestStartMs (offer: Offer): number {
+  const { ctx, call, history, serviceMs } = offer
   const byDeadlineMs = Math.min(
-    call.deadlineAtMs - Math.max(0, serviceMs - doneMs), ctx.shutdown.latestStartMs(call, serviceMs, doneMs)
+    call.deadlineAtMs - Math.max(0, serviceMs - servedMs(history)), latestStartInShutdownMs(offer)
   )
   if (!call.route.isStream) return byDeadlineMs
   const lastEventAtMs = history.progress.lastEventAtMs ?? call.arrivedAtMs
@@ -184,6 +191,12 @@
   return Math.min(byDeadlineMs, lastEventAtMs + routingTable.clientStreamTimeoutMs(call.route) - firstResponseMs)
 }
 
+function latestStartInShutdownMs ({ ctx, call, history }: Offer): number {
+  return history.progress.hasHead
+    ? ctx.shutdown.latestContinuationMs(call, servedMs(history))
+    : ctx.shutdown.latestStartMs(call)
+}
+
 /** Time in which a stream that goes on elsewhere has got this far; the rest needs as much less. */
 function servedMs ({ progress, timing }: callHistory.CallHistory): number {
   if (!progress.hasHead || progress.lastEventAtMs === undefined || timing === undefined) return 0
--- a/src/coordination/gateway/serve-call.ts
+++ b/src/coordination/gateway/serve-call.ts
@@ -75,7 +75,7 @@
     return
   }
   const { call } = admission
-  if (ctx.shutdown.latestAcceptMs(call, callModule.expectedServiceMs(call)) < ctx.nowMs()) {
+  if (ctx.shutdown.latestAcceptMs(call) < ctx.nowMs()) {
     reply.refuse('process_stopping', ctx.shutdown.retryAfterMs(call.clientDeadlineAtMs - ctx.nowMs()))
     return
   }
--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -6,7 +6,9 @@
 import * as timers from 'node:timers/promises'
 import * as serviceTimes from '../../state/service-times.js'
 import * as shutdownWindow from '../../state/shutdown-window.js'
+import * as streamPace from '../../state/stream-pace.js'
 import * as waitQueue from '../../state/wait-queue.js'
+import * as callModule from './call.js'
 import type * as http from 'node:http'
 import type * as arrivalsModule from '../../transport/arrivals.js'
 import type * as runtime from '../runtime.js'
@@ -17,14 +19,13 @@
   shutdownMs: number
   /** Whether clients that are refused can go to another entry. */
   hasReadyPeer: () => boolean
+  /** Usual time until a response of a service begins. */
+  firstResponseMs: (service: string) => number
   /** What clients send. */
   arrivals: arrivalsModule.Arrivals
 }
 
-interface StoppableCall {
-  route: { name: string, isStream: boolean }
-  deadlineAtMs: number
-}
+type StoppableCall = Pick<callModule.Call, 'route' | 'service' | 'engine' | 'head' | 'deadlineAtMs'>
 
 /** Why the handling of a request was aborted; the reason of its signal. */
 export type AbortCause = 'client' | 'shutdown'
@@ -37,10 +38,14 @@
 /** Time to send the last answers. */
 const FLUSH_MS = 50
 const FLUSH_POLL_MS = 5
+/** Most responses begin within this multiple of the usual time. */
+const FIRST_RESPONSE_SPREAD = 1.5
 
 export class Shutdown {
   /** Durations of requests at backend servers. */
   readonly times = serviceTimes.createServiceTimes()
+  /** How fast streams advance at backend servers. */
+  readonly paces = streamPace.createPaces()
   readonly #options: ShutdownOptions
   readonly #open = new Set<AbortController>()
   #window: shutdownWindow.ShutdownWindow | undefined
@@ -77,23 +82,48 @@
     return controller.signal
   }
 
+  /** Latest time to send a request to a backend server; Infinity while the process does not stop. */
+  latestStartMs (call: StoppableCall): number {
+    if (this.#window === undefined) return Infinity
+    return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, this.#neededTime(call))
+  }
+
   /**
-   * Latest time to send a request to a backend server; Infinity while the process does not stop.
-   * @param servedMs time for which a stream that goes on elsewhere has already been served.
+   * The same for a stream that goes on elsewhere. It is cut if it may not, so that its usual time decides.
+   * @param servedMs time for which it has already been served.
    */
-  latestStartMs (call: StoppableCall, expectedMs: number, servedMs = 0): number {
+  latestContinuationMs (call: StoppableCall, servedMs: number): number {
     if (this.#window === undefined) return Infinity
-    const neededMs = serviceTimes.neededMs(this.times, call.route.name, expectedMs, this.#options.runtime.nowMs())
-    return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, Math.max(0, neededMs - servedMs))
+    const restMs = Math.max(0, this.#usualMs(call) - servedMs)
+    return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, { usualMs: restMs, longestMs: restMs })
   }
 
   /** Latest time to accept a new request; Infinity while the process does not stop. */
-  latestAcceptMs (call: StoppableCall, expectedMs: number): number {
+  latestAcceptMs (call: StoppableCall): number {
     if (this.#window === undefined) return Infinity
     const { hasReadyPeer, runtime: { nowMs } } = this.#options
     const risk = { hasReadyPeer: hasReadyPeer(), overdueAtMs: this.#overdueAtMs }
     const reserveMs = call.route.isStream ? shutdownWindow.streamReserveMs(risk, nowMs()) : 0
-    return this.latestStartMs(call, expectedMs) - reserveMs
+    return shutdownWindow.latestStartMs(this.#window, call.deadlineAtMs, { ...this.#neededTime(call), reserveMs })
+  }
+
+  #neededTime (call: StoppableCall): shutdownWindow.NeededTime {
+    const { isStream } = call.route
+    const usualMs = this.#usualMs(call)
+    const statedMs = this.#statedLongestMs(call)
+    if (statedMs !== undefined) return { usualMs, longestMs: isStream ? statedMs : Math.max(usualMs, statedMs) }
+    return { usualMs, longestMs: isStream ? this.#usualMs(call, serviceTimes.MIN_SAMPLES_OF_UNKNOWN_LENGTH) : usualMs }
+  }
+
+  #usualMs (call: StoppableCall, minSamples?: number): number {
+    const expectedMs = callModule.expectedServiceMs(call)
+    return serviceTimes.neededMs(this.times, call.route.name, expectedMs, this.#options.runtime.nowMs(), minSamples)
+  }
+
+  #statedLongestMs (call: StoppableCall): number | undefined {
+    const { firstResponseMs, runtime: { nowMs } } = this.#options
+    const pace = streamPace.paceOf(this.paces, call.service, nowMs())
+    return callModule.longestServiceMs(call, pace, firstResponseMs(call.service) * FIRST_RESPONSE_SPREAD)
   }
 
   /** Called when a stream that has begun is overdue. */
--- a/src/coordination/gateway/suspect-gate.ts
+++ b/src/coordination/gateway/suspect-gate.ts
@@ -41,13 +41,16 @@
     options.signal.addEventListener('abort', () => { clearInterval(timer) }, { once: true })
   }
 
-  /** Waits until the request may be sent. @param latestMs time after which it can't be served any more. */
-  async enter (call: gatedCall.GatedCall, latestMs: number): Promise<EnterResult> {
+  /**
+   * Waits until the request may be sent.
+   * @param latestMs time after which it can't be served any more; earlier once the process stops.
+   */
+  async enter (call: gatedCall.GatedCall, latestMs: () => number): Promise<EnterResult> {
     const { nowMs } = this.#options.runtime
     for (;;) {
       const verdict = this.#judge(call)
       if (verdict === 'run' || verdict === 'try') return 'open'
-      if (verdict === 'blamed' || call.signal.aborted || nowMs() > latestMs) {
+      if (verdict === 'blamed' || call.signal.aborted || nowMs() > latestMs()) {
         this.leave(call)
         return verdict === 'blamed' ? 'blamed' : call.signal.aborted ? 'aborted' : 'too_late'
       }
--- a/src/state/__tests__/shutdown-window.spec.ts
+++ b/src/state/__tests__/shutdown-window.spec.ts
@@ -21,7 +21,8 @@
       serviceTimes.noteEnded(times, request, true, nowMs)
     }
     const neededMs = serviceTimes.neededMs(times, 'r', EXPECTED_MS, nowMs)
-    if (nowMs >= 0 && shutdownWindow.latestStartMs(window, nowMs + ROUTE_TIMEOUT_MS, neededMs) < nowMs) {
+    const needed = { usualMs: neededMs, longestMs: neededMs }
+    if (nowMs >= 0 && shutdownWindow.latestStartMs(window, nowMs + ROUTE_TIMEOUT_MS, needed) < nowMs) {
       refused.push(nowMs)
     } else {
       const request = serviceTimes.noteStarted(times, 'r', EXPECTED_MS, nowMs)
@@ -50,8 +51,9 @@
 
 test('a request that reaches its deadline before the process exits is accepted', () => {
   const window = shutdownWindow.openWindow(SHUTDOWN_MS, 0)
-  expect(shutdownWindow.latestStartMs(window, window.answerByMs, 60_000)).toBe(Infinity)
-  expect(shutdownWindow.latestStartMs(window, window.answerByMs + 1, 60_000)).toBeLessThan(0)
+  const needed = { usualMs: 60_000, longestMs: 60_000 }
+  expect(shutdownWindow.latestStartMs(window, window.answerByMs, needed)).toBe(Infinity)
+  expect(shutdownWindow.latestStartMs(window, window.answerByMs + 1, needed)).toBeLessThan(0)
 })
 
 test('a route that was not used lately is taken to need several times what is expected', () => {
--- a/src/state/service-times.ts
+++ b/src/state/service-times.ts
@@ -28,6 +28,8 @@
 const MAX_SAMPLES = 32
 /** With fewer, little is known of a route. */
 const MIN_SAMPLES = 5
+/** The same where the length of a response is not known, so that a long one may come after many short ones. */
+export const MIN_SAMPLES_OF_UNKNOWN_LENGTH = MAX_SAMPLES
 /** A request of a route of which little is known may need this multiple of what is expected of it. */
 const UNKNOWN_MULTIPLE = 4
 /** Routes that are remembered; those that have been idle for longest are forgotten. */
@@ -85,8 +87,12 @@
  *
  * Load pattern: backend servers have just become slow. Requests that already run for longer than earlier ones did count
  * with the time that they have taken so far.
+ *
+ * @param minSamples number of requests with which enough is known of a route.
  */
-export function neededMs (times: ServiceTimes, route: string, expectedMs: number, nowMs: number): number {
+export function neededMs (
+  times: ServiceTimes, route: string, expectedMs: number, nowMs: number, minSamples = MIN_SAMPLES
+): number {
   const known = times.ended.get(route)
   const latest = known?.latest ?? []
   const usual = latest.length === 0 ? 0 : quantileOf(latest)
@@ -98,7 +104,7 @@
   return Math.max(1, expectedMs) * Math.max(
     samples.length === 0 ? 0 : quantileOf(samples) * MARGIN,
     known === undefined ? 0 : Math.max(known.longest, known.longestBefore) * LONGEST_MARGIN,
-    samples.length < MIN_SAMPLES ? UNKNOWN_MULTIPLE : 0
+    samples.length < minSamples ? UNKNOWN_MULTIPLE : 0
   )
 }
 
