A late hold no longer stops an idle group: each phase ends what it does not wait for

Cause: a hold gets no answer and is sent again; the second one is carried out, all ranks are armed and the hold ends. The first one is carried out after that. The group is idle, so that its pass has not begun, and the rank holds it again. The phase settling waits for that pass and looks for no hold; a hold does not expire. Related: preparing held the group while its ranks load; holding, arming and releasing saw no hold at another rank than the holder; idle looked only with all ranks known; a recovery took the first of several holds for the switch's.

Change: stray-holds.ts finds the holds that a phase does not wait for and ends them, in each phase; event 7114 strayHold tells rank, step, phase and age. A step whose hold was ended is not held again, since the order that ends it may be late too. A recovery prefers the hold for which ranks are armed, and only ends it when all are armed alike.

--- a/src/coordination/ranks/map-lead.ts
+++ b/src/coordination/ranks/map-lead.ts
@@ -10,6 +10,7 @@
 import * as orderSender from './order-sender.js'
 import type * as rankCall from '../../protocol/rank-call.js'
 import type * as rankControl from '../../protocol/rank-control.js'
+import type * as switchOrders from '../../state/switch-orders.js'
 import type * as routingTable from '../../state/routing-table.js'
 import type * as runtime from '../runtime.js'
 import type * as rankCaller from './rank-caller.js'
@@ -161,6 +162,9 @@
     this.#fenceAll(own)
     this.#state.mapInUse = this.#knownMap(own)
     const step = rankSwitch.advance(this.#state, this.#ranks, nowMs())
+    for (const hold of step.strayHolds) {
+      log.emit('strayHold', { epoch: own.epoch, term: this.#term, ...hold, ageMs: Math.round(hold.ageMs) })
+    }
     if (step.entered !== undefined) {
       log.emit(step.entered === 'idle' ? 'mapSwitchEnded' : 'mapSwitchPhase', {
         epoch: own.epoch, term: this.#term, phase: this.#state.phase.kind, ...withoutMap(this.#state.phase)
@@ -197,7 +201,7 @@
   #fenceAll (own: rankControl.RankGroup): void {
     // No rank is held at step 0, so the order has no other effect.
     const order: rankControl.RankOrder = { kind: 'go', step: 0 }
-    const orders: rankSwitch.AddressedOrder[] = []
+    const orders: switchOrders.AddressedOrder[] = []
     for (let rank = 0; rank < own.size; rank++) {
       if (this.#fencedRanks.has(rank)) continue
       this.#fencedRanks.add(rank)
@@ -206,7 +210,7 @@
     if (orders.length > 0) this.#sendOrders(orders, own)
   }
 
-  #sendOrders (orders: readonly rankSwitch.AddressedOrder[], own: rankControl.RankGroup): void {
+  #sendOrders (orders: readonly switchOrders.AddressedOrder[], own: rankControl.RankGroup): void {
     const term = this.#term
     this.#sender.send(orders, {
       group: this.#group,
--- a/src/coordination/ranks/order-sender.ts
+++ b/src/coordination/ranks/order-sender.ts
@@ -7,6 +7,7 @@
 import type * as rankCall from '../../protocol/rank-call.js'
 import type * as rankControl from '../../protocol/rank-control.js'
 import type * as rankSwitch from '../../state/rank-switch.js'
+import type * as switchOrders from '../../state/switch-orders.js'
 import type * as runtime from '../runtime.js'
 import type * as rankCaller from './rank-caller.js'
 
@@ -61,7 +62,7 @@
     this.#options = options
   }
 
-  send (orders: readonly rankSwitch.AddressedOrder[], context: OrderContext): void {
+  send (orders: readonly switchOrders.AddressedOrder[], context: OrderContext): void {
     const byOrder = groupBy(orders, ({ order }) => order)
     for (const [order, addressed] of byOrder) this.#sendToAll(order, addressed.map(({ rank }) => rank), context)
   }
--- a/src/protocol/log-events.ts
+++ b/src/protocol/log-events.ts
@@ -115,6 +115,7 @@
   popularityChanged: { number: 7111, level: 'info', text: 'the requests of the rank beside the lead have begun to choose other experts' },
   mapRefused: { number: 7112, level: 'warn', text: 'a rank refused to prepare an expert map; it is given up' },
   mapOutdated: { number: 7113, level: 'info', text: 'popularity changed while an expert map was being prepared; it is given up' },
+  strayHold: { number: 7114, level: 'warn', text: 'a rank holds the group although no switch waits for it' },
   mapLeadTaken: { number: 7104, level: 'info', text: 'this agent leads the expert maps of its group' },
   mapLeadLost: { number: 7105, level: 'info', text: 'this agent no longer leads the expert maps of its group' },
   mapSwitchPhase: { number: 7106, level: 'info', text: 'a switch to a new expert map has reached its next phase' },
--- a/src/state/__tests__/rank-switch.spec.ts
+++ b/src/state/__tests__/rank-switch.spec.ts
@@ -29,6 +29,25 @@
   return new rankSwitchSimulation.RankSwitchSimulation(seed, size, { ...NO_FAULTS, ...faults }).run(durationMs)
 }
 
+/** Each with orders that are carried out seconds later, beside other faults. */
+const LATE_ORDERS: Partial<rankSwitchSimulation.Faults>[] = [
+  { late: 0.35 },
+  { late: 0.35, idle: 0.6 },
+  { late: 0.2, idle: 0.3 },
+  { late: 0.35, idle: 0.6, popularityChange: 2 },
+  { late: 0.35, idle: 0.6, lostReports: 0.2, answerLost: 0.1, dropped: 0.1 },
+  { late: 0.35, idle: 0.6, leadFailure: 0.1, leadFailureSpacingMs: 4_000 }
+]
+
+// Guards against a group that a late hold stops for good, because no phase of the switch waits for it.
+test.each(LATE_ORDERS)('a group goes on before clients abandon their streams with %o', faults => {
+  fc.assert(fc.property(fc.integer(), seed => {
+    const result = runWith(seed, faults)
+    expect(result.mixedSteps).toEqual([])
+    expect(result.longestStallMs).toBeLessThan(CLIENT_STREAM_TIMEOUT_MS)
+  }), { numRuns: 60 })
+})
+
 // Guards against switches that stall the group although nothing fails.
 test('without faults, switches delay no pass for long', () => {
   const result = runWith(1, {})
@@ -184,3 +203,74 @@
   expect(rankSwitch.isIdle(state)).toBe(true)
   expect(rankSwitch.propose(state, [], 1_200)).toBeGreaterThan(version)
 })
+
+/** States of an idle group at step 3, all read at `atMs`, with what differs at single ranks. */
+function idleStates (
+  atMs: number, size: number, differing: Record<number, Partial<rankSwitch.RankState>> = {}
+): Map<number, rankSwitch.RankState> {
+  return new Map(Array.from({ length: size }, (_, rank) => [rank, {
+    rank,
+    epoch: 1,
+    isOpen: true,
+    step: 3,
+    mapVersion: 0,
+    preparedVersion: undefined,
+    armed: undefined,
+    heldStep: undefined,
+    slowdown: 1,
+    readAtMs: atMs,
+    ...differing[rank]
+  }]))
+}
+
+function idleSwitch (size: number): rankSwitch.SwitchState {
+  const state = rankSwitch.createSwitchState(1, size, 0, 1, 0)
+  rankSwitch.advance(state, idleStates(10, size), 10)
+  if (!rankSwitch.isIdle(state)) throw new Error(`the phase is ${state.phase.kind}`)
+  return state
+}
+
+// Guards against a group that a late hold stops while its ranks load a map, and against a hold that nobody can explain.
+test('a hold that is executed late while a map is prepared ends at once and is told once', () => {
+  const state = idleSwitch(4)
+  rankSwitch.propose(state, [], 20)
+  rankSwitch.advance(state, idleStates(30, 4), 30)
+  const held = idleStates(40, 4, { 2: { heldStep: 5 } })
+  const actions = rankSwitch.advance(state, held, 45)
+  expect(actions.orders).toEqual([{ rank: 2, order: { kind: 'go', step: 5 } }])
+  expect(actions.strayHolds).toEqual([{ rank: 2, step: 5, phase: 'preparing', ageMs: 5 }])
+  expect(rankSwitch.advance(state, held, 50)).toMatchObject({ orders: [], strayHolds: [] })
+})
+
+// Guards against a late order that ends a hold of the same step while only some ranks are armed.
+test('a step whose hold was ended is not held again', () => {
+  const state = idleSwitch(4)
+  rankSwitch.propose(state, [], 20)
+  rankSwitch.advance(state, idleStates(40, 4, { 2: { heldStep: 9 } }), 45)
+  const version = state.highestVersion
+  const prepared = { preparedVersion: version }
+  const all = { 0: prepared, 1: prepared, 2: prepared, 3: prepared }
+  expect(rankSwitch.advance(state, idleStates(200, 4, all), 205).orders)
+    .toEqual([{ rank: 1, order: { kind: 'hold', step: 10 } }])
+  const late = { ...all, 1: { ...prepared, heldStep: 9 } }
+  expect(rankSwitch.advance(state, idleStates(300, 4, late), 305).orders)
+    .toEqual([{ rank: 1, order: { kind: 'go', step: 9 } }])
+  expect(state.phase.kind).toBe('holding')
+})
+
+// Guards against a group that stays held as long as one of its ranks can't be read.
+test('a late hold of an idle group ends although a rank is unknown', () => {
+  const state = idleSwitch(4)
+  const states = idleStates(30, 4, { 2: { heldStep: 5 } })
+  states.delete(3)
+  expect(rankSwitch.advance(state, states, 35).orders).toEqual([{ rank: 2, order: { kind: 'go', step: 5 } }])
+})
+
+// Guards against ranks that are armed anew for the step of a late hold, while the pass for which all are armed begins.
+test('a successor ends a late hold when all ranks are armed for another pass', () => {
+  const state = rankSwitch.createSwitchState(1, 4, 0, 2, 0)
+  const armed = { armed: { version: 7, step: 4 }, preparedVersion: 7 }
+  const states = idleStates(10, 4, { 0: armed, 1: { ...armed, heldStep: 6 }, 2: armed, 3: armed })
+  rankSwitch.advance(state, states, 10)
+  expect(state.phase).toMatchObject({ kind: 'releasing', version: 7, step: 6, holder: 1 })
+})
--- a/src/state/rank-switch.ts
+++ b/src/state/rank-switch.ts
@@ -5,6 +5,9 @@
  * for that step, and the hold ends. A held group begins no pass, so no pass runs with two maps. An order without an
  * answer may be executed seconds later, so a switch whose step was held is completed unless the group forms again.
  *
+ * Holds that a phase does not wait for are ended (stray-holds.ts). The orders that end them may be late as well, so
+ * that their steps are not held again.
+ *
  * The lead's host may freeze at any moment, and its rank then accepts no orders. The lead therefore holds a rank of
  * another host and arms its own rank last: as long as any other rank is not armed, the lead's rank is not armed either,
  * and a successor that can't reach it may undo the switch.
@@ -12,6 +15,8 @@
 
 import * as passTiming from './pass-timing.js'
 import * as rankState from './rank-state.js'
+import * as strayHolds from './stray-holds.js'
+import * as switchOrders from './switch-orders.js'
 import type * as rankControl from '../protocol/rank-control.js'
 
 export type RankState = rankState.RankState
@@ -48,17 +53,20 @@
   passes: passTiming.PassTiming
   /** When the last order was sent to each rank, to decide when it is sent again. */
   orderedAtMs: Map<number, number>
+  /** The same for orders that end a hold which the switch does not wait for. */
+  strayGoAtMs: Map<number, number>
+  /** Highest step for which a hold was ended; an order to end it may still be executed. */
+  highestGoStep: number
+  /** Keys of the stray holds that the last advance has found. */
+  strayHolds: Set<string>
   /** Highest version that was sent to a rank. */
   highestVersion: number
 }
 
-export interface AddressedOrder {
-  rank: number
-  order: rankControl.RankOrder
-}
-
 export interface SwitchActions {
-  orders: AddressedOrder[]
+  orders: switchOrders.AddressedOrder[]
+  /** Those that were found now, for the log. */
+  strayHolds: strayHolds.StrayHold[]
   /** The phase that was entered, if any, for the log. */
   entered: SwitchPhase['kind'] | undefined
 }
@@ -76,9 +84,6 @@
  */
 const REPEAT_LAST_PREPARE_MS = 120
 const LAST_RANKS_SHARE = 0.25
-const REPEAT_ORDER_MS = 60
-/** Orders to all ranks of a group take the lead's host about this much longer for each rank above the typical size. */
-const DELAY_PER_EXTRA_RANK_MS = 1
 /** A rank that is reachable but slow answers within this time. */
 const ABSENT_LEAD_TIMEOUT_MS = 300
 /** Time for a hold order to reach its rank before the held step begins. */
@@ -99,6 +104,9 @@
     phase: { kind: 'recovering', sinceMs: nowMs },
     passes: passTiming.createTiming(),
     orderedAtMs: new Map(),
+    strayGoAtMs: new Map(),
+    highestGoStep: -1,
+    strayHolds: new Set(),
     highestVersion: term * VERSIONS_PER_TERM
   }
 }
@@ -158,13 +166,20 @@
   }
   passTiming.noteReadings(state.passes, known)
   const before = state.phase.kind
+  const found = strayHolds.noteStrayHolds(state, known, nowMs)
   const orders = ordersOf(state, known, nowMs)
-  return { orders, entered: state.phase.kind === before ? undefined : state.phase.kind }
+  const goSteps = orders.flatMap(({ order }) => order.kind === 'go' ? [order.step] : [])
+  state.highestGoStep = Math.max(state.highestGoStep, ...goSteps)
+  return { orders, strayHolds: found, entered: state.phase.kind === before ? undefined : state.phase.kind }
 }
 
-/** The first step that begins after the orders have reached all ranks, so that the group does not have to wait. */
+/**
+ * The first step that begins after the orders have reached all ranks, so that the group does not have to wait. A late
+ * order to end an earlier hold must not end this one while only some ranks are armed.
+ */
 function nextHoldStep (state: SwitchState, known: readonly RankState[], nowMs: number): number {
-  return passTiming.nextStepAfter(state.passes, known, HOLD_MARGIN_MS + largeGroupDelayMs(state.size), nowMs)
+  const delayMs = HOLD_MARGIN_MS + switchOrders.largeGroupDelayMs(state.size)
+  return Math.max(passTiming.nextStepAfter(state.passes, known, delayMs, nowMs), state.highestGoStep + 1)
 }
 
 function currentStates (state: SwitchState, ranks: ReadonlyMap<number, RankState>, nowMs: number): RankState[] {
@@ -175,7 +190,7 @@
     rank.epoch === state.epoch && rank.isOpen && rank.readAtMs >= fromMs)
 }
 
-function ordersOf (state: SwitchState, known: RankState[], nowMs: number): AddressedOrder[] {
+function ordersOf (state: SwitchState, known: RankState[], nowMs: number): switchOrders.AddressedOrder[] {
   const { phase } = state
   const isComplete = known.length === state.size
   switch (phase.kind) {
@@ -184,19 +199,21 @@
     case 'withdrawing':
       return withdraw(state, phase, known, nowMs)
     case 'idle':
-      return isComplete && findHold(known) !== undefined ? recover(state, known, nowMs) : []
+      // No rank is armed while idle, so that a hold may end before all ranks are known.
+      if (!isComplete) return strayHolds.endStrayHolds(state, known, nowMs)
+      return known.some(isHeld) ? recover(state, known, nowMs) : []
     case 'preparing':
-      return prepare(state, phase, known, isComplete, nowMs)
+      return [...strayHolds.endStrayHolds(state, known, nowMs), ...prepare(state, phase, known, isComplete, nowMs)]
     case 'holding':
-      return hold(state, phase, known, nowMs)
+      return [...strayHolds.endStrayHolds(state, known, nowMs), ...hold(state, phase, known, nowMs)]
     case 'arming':
-      return arm(state, phase, known, isComplete, nowMs)
+      return [...strayHolds.endStrayHolds(state, known, nowMs), ...arm(state, phase, known, isComplete, nowMs)]
     case 'releasing':
-      return release(state, phase, known, nowMs)
+      return [...strayHolds.endStrayHolds(state, known, nowMs), ...release(state, phase, known, nowMs)]
     case 'settling':
       // All ranks were armed for the same pass, and a pass begins at all of them together.
       if (known.some(rank => rank.mapVersion === phase.version)) enterPhase(state, { kind: 'idle', sinceMs: nowMs })
-      return []
+      return strayHolds.endStrayHolds(state, known, nowMs)
   }
 }
 
@@ -205,22 +222,28 @@
   state.orderedAtMs.clear()
 }
 
-function findHold (known: readonly RankState[]): RankState | undefined {
-  return known.find(rank => rank.heldStep !== undefined)
+function isHeld (rank: RankState): boolean {
+  return rank.heldStep !== undefined
 }
 
 /** Continues a switch that another lead, or an earlier run of this process, has begun. */
-function recover (state: SwitchState, known: RankState[], nowMs: number): AddressedOrder[] {
-  const held = findHold(known)
+function recover (state: SwitchState, known: RankState[], nowMs: number): switchOrders.AddressedOrder[] {
   const armed = known.find(rank => rank.armed !== undefined)?.armed
+  // One of several holds may be late, and that of the switch is the one for which ranks are armed.
+  const held = known.find(rank => isHeld(rank) && rank.heldStep === armed?.step) ?? known.find(isHeld)
   if (held?.heldStep !== undefined) {
+    const areArmedAlike = armed !== undefined && known.every(rank =>
+      rank.armed?.version === armed.version && rank.armed.step === armed.step)
+    const found = { step: held.heldStep, holder: held.rank, sinceMs: nowMs }
     const common = commonPreparedVersion(known)
     const version = armed?.step === held.heldStep ? armed.version : common
-    const isArmable = version !== undefined && known.every(rank =>
+    const mayArm = armed !== undefined || held.heldStep > state.highestGoStep
+    const isArmable = mayArm && version !== undefined && known.every(rank =>
       rank.preparedVersion === version || rank.armed?.version === version)
-    if (isArmable) enterPhase(state, { kind: 'arming', version, step: held.heldStep, holder: held.rank, sinceMs: nowMs })
+    if (areArmedAlike) enterPhase(state, { kind: 'releasing', version: armed.version, ...found })
+    else if (isArmable) enterPhase(state, { kind: 'arming', version, ...found })
     // A hold order that was executed late, after its switch: no rank is armed for it.
-    else if (armed === undefined) enterPhase(state, { kind: 'releasing', version: held.mapVersion, step: held.heldStep, holder: held.rank, sinceMs: nowMs })
+    else if (armed === undefined) enterPhase(state, { kind: 'releasing', version: held.mapVersion, ...found })
     return []
   }
   if (armed !== undefined) enterPhase(state, { kind: 'settling', version: armed.version, sinceMs: nowMs })
@@ -232,9 +255,9 @@
  * Undoes a switch when only the rank of the previous lead is unreachable. A lead arms its own rank last, so that rank
  * is not armed as long as another rank isn't, and the switch can be undone without it.
  */
-function recoverWithoutLead (state: SwitchState, known: RankState[], nowMs: number): AddressedOrder[] {
+function recoverWithoutLead (state: SwitchState, known: RankState[], nowMs: number): switchOrders.AddressedOrder[] {
   const absent = allRanks(state).filter(rank => !known.some(other => other.rank === rank))
-  const held = findHold(known)
+  const held = known.find(isHeld)
   if (held?.heldStep === undefined || absent.length !== 1 || absent[0] !== state.previousLead?.rank) return []
   if (nowMs - state.phase.sinceMs < ABSENT_LEAD_TIMEOUT_MS) return []
   // A lead before the absent one may have armed the absent rank before other ranks.
@@ -261,28 +284,28 @@
  */
 function withdraw (
   state: SwitchState, phase: SwitchPhase & { kind: 'withdrawing' }, known: RankState[], nowMs: number
-): AddressedOrder[] {
+): switchOrders.AddressedOrder[] {
   const { version, step, holder, absent } = phase
   const present = known.filter(rank => rank.rank !== absent)
   if (present.length < state.size - 1) return []
   const armed = present.filter(rank => rank.armed !== undefined)
   if (armed.length > 0) {
     const versions = new Set(armed.map(rank => rank.armed!.version))
-    return [...versions].flatMap(other => ordersDue(
-      state, armed.filter(rank => rank.armed!.version === other).map(rank => rank.rank),
-      { kind: 'disarm', version: other }, REPEAT_ORDER_MS, nowMs))
+    return [...versions].flatMap(other => switchOrders.ordersDue(
+      state.orderedAtMs, armed.filter(rank => rank.armed!.version === other).map(rank => rank.rank),
+      { kind: 'disarm', version: other }, nowMs))
   }
   const unprepared = present.filter(rank => rank.preparedVersion !== version).map(rank => rank.rank)
   if (unprepared.length > 0) {
     if (state.mapInUse === undefined) return []
-    return ordersDue(state, unprepared, { kind: 'prepare', version, map: state.mapInUse }, REPEAT_ORDER_MS, nowMs)
+    return switchOrders.ordersDue(state.orderedAtMs, unprepared, { kind: 'prepare', version, map: state.mapInUse }, nowMs)
   }
   const held = present.find(rank => rank.rank === holder)
   if (held?.heldStep === undefined) {
     enterPhase(state, { kind: 'recovering', sinceMs: nowMs })
     return []
   }
-  return ordersDue(state, [holder], { kind: 'go', step }, REPEAT_ORDER_MS, nowMs)
+  return switchOrders.ordersDue(state.orderedAtMs, [holder], { kind: 'go', step }, nowMs)
 }
 
 function termOf (version: number | undefined): number | undefined {
@@ -296,7 +319,7 @@
 
 function prepare (
   state: SwitchState, phase: SwitchPhase & { kind: 'preparing' }, known: RankState[], isComplete: boolean, nowMs: number
-): AddressedOrder[] {
+): switchOrders.AddressedOrder[] {
   const { version, map } = phase
   if (nowMs - phase.sinceMs > PREPARE_TIMEOUT_MS) {
     enterPhase(state, { kind: 'recovering', sinceMs: nowMs })
@@ -306,21 +329,25 @@
     const step = nextHoldStep(state, known, nowMs)
     const holder = (state.ownRank + 1) % state.size
     enterPhase(state, { kind: 'holding', version, step, holder, sinceMs: nowMs })
-    return ordersDue(state, [holder], { kind: 'hold', step }, REPEAT_ORDER_MS, nowMs)
+    return switchOrders.ordersDue(state.orderedAtMs, [holder], { kind: 'hold', step }, nowMs)
   }
   const prepared = new Set(known.filter(rank => rank.preparedVersion === version).map(rank => rank.rank))
   const unprepared = allRanks(state).filter(rank => !prepared.has(rank))
   const isLast = unprepared.length <= state.size * LAST_RANKS_SHARE
   const repeatMs = isLast ? REPEAT_LAST_PREPARE_MS : REPEAT_PREPARE_MS
-  return ordersDue(state, unprepared, { kind: 'prepare', version, map }, repeatMs, nowMs)
+  return switchOrders.ordersDue(state.orderedAtMs, unprepared, { kind: 'prepare', version, map }, nowMs, repeatMs)
 }
 
 function hold (
   state: SwitchState, phase: SwitchPhase & { kind: 'holding' }, known: RankState[], nowMs: number
-): AddressedOrder[] {
+): switchOrders.AddressedOrder[] {
   const { holder } = phase
   const held = known.find(rank => rank.rank === holder)
   if (held?.heldStep !== undefined) {
+    // An order to end this hold may still be executed, while only some ranks are armed.
+    if (held.heldStep <= state.highestGoStep) {
+      return switchOrders.ordersDue(state.orderedAtMs, [holder], { kind: 'go', step: held.heldStep }, nowMs)
+    }
     // An earlier hold order may have been executed instead of the last one.
     enterPhase(state, { kind: 'arming', version: phase.version, step: held.heldStep, holder, sinceMs: nowMs })
     return arm(state, state.phase as SwitchPhase & { kind: 'arming' }, known, false, nowMs)
@@ -330,27 +357,27 @@
     phase.step = nextHoldStep(state, [held], nowMs)
     state.orderedAtMs.clear()
   }
-  return ordersDue(state, [holder], { kind: 'hold', step: phase.step }, REPEAT_ORDER_MS, nowMs)
+  return switchOrders.ordersDue(state.orderedAtMs, [holder], { kind: 'hold', step: phase.step }, nowMs)
 }
 
 function arm (
   state: SwitchState, phase: SwitchPhase & { kind: 'arming' }, known: RankState[], isComplete: boolean, nowMs: number
-): AddressedOrder[] {
+): switchOrders.AddressedOrder[] {
   const { version, step, holder } = phase
   const isArmed = (rank: RankState): boolean => rank.armed?.version === version && rank.armed.step === step
   if (isComplete && known.every(isArmed)) {
     enterPhase(state, { kind: 'releasing', version, step, holder, sinceMs: nowMs })
-    return ordersDue(state, [holder], { kind: 'go', step }, REPEAT_ORDER_MS, nowMs)
+    return switchOrders.ordersDue(state.orderedAtMs, [holder], { kind: 'go', step }, nowMs)
   }
   const armed = new Set(known.filter(isArmed).map(rank => rank.rank))
   const others = allRanks(state).filter(rank => rank !== state.ownRank && !armed.has(rank))
   const next = others.length > 0 ? others : [state.ownRank]
-  return ordersDue(state, next, { kind: 'arm', version, step }, REPEAT_ORDER_MS, nowMs)
+  return switchOrders.ordersDue(state.orderedAtMs, next, { kind: 'arm', version, step }, nowMs)
 }
 
 function release (
   state: SwitchState, phase: SwitchPhase & { kind: 'releasing' }, known: RankState[], nowMs: number
-): AddressedOrder[] {
+): switchOrders.AddressedOrder[] {
   const { version, step, holder } = phase
   const rank = known.find(candidate => candidate.rank === holder)
   const wasOrdered = state.orderedAtMs.has(holder)
@@ -358,31 +385,13 @@
     enterPhase(state, { kind: 'settling', version, sinceMs: nowMs })
     return []
   }
-  return ordersDue(state, [holder], { kind: 'go', step }, REPEAT_ORDER_MS, nowMs)
-}
-
-/** Additional time that orders to many ranks take, compared with a group of typical size. */
-function largeGroupDelayMs (ranks: number): number {
-  return Math.max(0, ranks - rankState.TYPICAL_GROUP_SIZE) * DELAY_PER_EXTRA_RANK_MS
-}
-
-/** The order for those of the ranks to which none was sent within the repeat interval. */
-function ordersDue (
-  state: SwitchState, ranks: readonly number[], order: rankControl.RankOrder, repeatMs: number, nowMs: number
-): AddressedOrder[] {
-  const due: AddressedOrder[] = []
-  const extraMs = largeGroupDelayMs(ranks.length)
-  for (const rank of ranks) {
-    if (nowMs - (state.orderedAtMs.get(rank) ?? -Infinity) < repeatMs + extraMs) continue
-    state.orderedAtMs.set(rank, nowMs)
-    due.push({ rank, order })
-  }
-  return due
+  return switchOrders.ordersDue(state.orderedAtMs, [holder], { kind: 'go', step }, nowMs)
 }
 
 /** Called when an order got no answer: it is sent again at the next `advance` instead of after its interval. */
 export function noteUnanswered (state: SwitchState, rank: number): void {
   state.orderedAtMs.delete(rank)
+  state.strayGoAtMs.delete(rank)
 }
 
 function allRanks (state: SwitchState): number[] {
