Whole bodies are passed on with their length, also those that had none

Cause: such a body was passed on in its own form, since its end may be that of a server that crashed. The entry has all of it, and has checked that it was not reset, before it sends the first byte. So the missing length only kept clients from telling the end of the entry from that of the body.

Change: each whole body gets its length; the answer to HEAD stays as it was.

--- a/src/coordination/gateway/call.ts
+++ b/src/coordination/gateway/call.ts
@@ -34,8 +34,8 @@
 }
 
 /**
- * How the end of a response's body is marked. A body that ends with the connection can't be told from one that was cut
- * off, so it is forwarded in the same form.
+ * How the end of a backend server's body is marked. One that ends with the connection in order is whole, but may also
+ * be the end of a server that crashed, so that it is no evidence that the server is sound.
  */
 export type BodyFraming = 'length' | 'connection_end'
 
--- a/src/coordination/gateway/reply.ts
+++ b/src/coordination/gateway/reply.ts
@@ -93,10 +93,16 @@
     this.#write(status, ['Content-Type', 'application/json', ...headers], Buffer.from(JSON.stringify({ reason })))
   }
 
+  /**
+   * States the length also of a body that ended with its connection and is whole: if this process ends while it sends
+   * the body, the client could not tell the rest of it from the end.
+   */
   #write (status: number, headers: string[], body: Buffer, framing: call.BodyFraming = 'length'): void {
-    const isClosing = this.#ctx.shutdown.isDraining || framing === 'connection_end'
-    const length = framing === 'length' ? ['Content-Length', String(body.length)] : []
-    if (framing === 'connection_end') this.#response.useChunkedEncodingByDefault = false
+    // The length of what a GET request would get is not known then.
+    const isLengthUnknown = framing === 'connection_end' && this.#response.req.method === 'HEAD'
+    const isClosing = this.#ctx.shutdown.isDraining || isLengthUnknown
+    const length = isLengthUnknown ? [] : ['Content-Length', String(body.length)]
+    if (isLengthUnknown) this.#response.useChunkedEncodingByDefault = false
     this.#response.writeHead(status, [...headers, ...(isClosing ? ['Connection', 'close'] : []), ...length])
     this.#response.end(body)
   }
