A limit far above the demand no longer hangs the entry that grants its permits

Cause: whatever the limit allows in a quarter of a second was granted, 25,000 permits at a time, used or not, and each one copied the list of all permits. All permits of an entry went into one datagram, however many.

Change: an entry gets permits for its waiting calls, and beside them a stock of four times the calls that it is likely to have while a permit lasts, at least eight. Lists are extended in place; permits are sent 20 at a time.

--- a/src/coordination/gateway/limit-gate.ts
+++ b/src/coordination/gateway/limit-gate.ts
@@ -276,14 +276,23 @@
     const byEntry = new Map<string, limitMessages.Permit[]>()
     for (const { entry, instance, lifetimeMs } of grants) {
       const permit: limitMessages.Permit = [instance.id, instance.startedAtUnixMs, Math.round(lifetimeMs)]
-      byEntry.set(entry, [...byEntry.get(entry) ?? [], permit])
+      const permits = byEntry.get(entry)
+      if (permits === undefined) byEntry.set(entry, [permit])
+      else permits.push(permit)
       state.granted.set(entry, (state.granted.get(entry) ?? 0) + 1)
       metrics.limitPermits.inc({ outcome: 'granted' })
     }
     for (const [entry, permits] of byEntry) {
-      const message: limitMessages.PermitsMessage = { kind: 'permits', service, waiting: state.backlog, permits }
-      if (entry === self) this.#applyPermits(message)
-      else sendTo(entry, message)
+      for (let start = 0; start < permits.length; start += limitMessages.MAX_PERMITS) {
+        const message: limitMessages.PermitsMessage = {
+          kind: 'permits',
+          service,
+          waiting: state.backlog,
+          permits: permits.slice(start, start + limitMessages.MAX_PERMITS)
+        }
+        if (entry === self) this.#applyPermits(message)
+        else sendTo(entry, message)
+      }
     }
     this.#logGrants(service, state, limited)
   }
--- a/src/protocol/limit-messages.ts
+++ b/src/protocol/limit-messages.ts
@@ -45,6 +45,8 @@
 /** Limits in one message, which keeps a datagram below the usual 1,400 bytes. */
 export const MAX_TOLD_LIMITS = 20
 export const MAX_SENT_REQUESTS = 32
+/** Permits in one message, for the same reason. */
+export const MAX_PERMITS = 20
 
 export function isLimitMessage (message: object | null): message is LimitMessage {
   const { kind, ...fields } = (message ?? {}) as Record<string, unknown>
--- a/src/state/__tests__/limit-shares.spec.ts
+++ b/src/state/__tests__/limit-shares.spec.ts
@@ -58,3 +58,26 @@
   limitShares.noteDemand(shares, 'gone', { waiting: 0, perSecond: 9 }, 0)
   expect(grantsIn(shares, 8, 3_050, 5_000).size).toBe(0)
 })
+
+// Guards against a coordinator that grants each permit of a very high limit, and answers nobody meanwhile.
+test('a limit far above the demand grants no more permits than entries can use', () => {
+  const shares = limitShares.createShares()
+  let granted = 0
+  const startedAtMs = performance.now()
+  for (let nowMs = 0; nowMs < 10_000; nowMs += 500) {
+    for (const entry of ['e1', 'e2', 'e3']) limitShares.noteDemand(shares, entry, { waiting: 0, perSecond: 20 }, nowMs)
+    for (const count of grantsIn(shares, 100_000, nowMs, nowMs + 500).values()) granted += count
+  }
+  expect(granted).toBeGreaterThan(3 * 20 * 10)
+  expect(granted).toBeLessThan(10 * 3 * 20 * 10)
+  expect(performance.now() - startedAtMs).toBeLessThan(1_000)
+})
+
+test('calls that wait get permits although their entry has had many', () => {
+  const shares = limitShares.createShares()
+  limitShares.noteDemand(shares, 'e1', { waiting: 0, perSecond: 5 }, 0)
+  grantsIn(shares, 1_000, 0, 200)
+  expect(grantsIn(shares, 1_000, 200, 250).size).toBe(0)
+  limitShares.noteDemand(shares, 'e1', { waiting: 30, perSecond: 5 }, 250)
+  expect(grantsIn(shares, 1_000, 250, 300).get('e1')).toBe(30)
+})
--- a/src/state/backend-limits.ts
+++ b/src/state/backend-limits.ts
@@ -94,7 +94,9 @@
 
 export function addPermit (limits: BackendLimits, instance: backendInstance.InstanceId, endMs: number): void {
   const key = backendInstance.keyOf(instance)
-  limits.permits.set(key, [...limits.permits.get(key) ?? [], endMs])
+  const ends = limits.permits.get(key)
+  if (ends === undefined) limits.permits.set(key, [endMs])
+  else ends.push(endMs)
 }
 
 export function hasPermit (limits: BackendLimits, instance: backendInstance.InstanceId, nowMs: number): boolean {
--- a/src/state/limit-shares.ts
+++ b/src/state/limit-shares.ts
@@ -5,6 +5,8 @@
  * Load pattern: a server in need takes one request a second, and sixty entries with very different load have requests
  * for it. Equal parts leave most of a small limit unused, and a bucket at each entry lets as many requests pass at once
  * as there are entries. So the right to the next request is divided, not the rate.
+ *
+ * A limit may also be far above all demand. Entries get no more permits than they can use while these last.
  */
 
 import * as backendLimits from './backend-limits.js'
@@ -23,10 +25,16 @@
   heardAtMs: number
 }
 
+interface GrantedPermit {
+  entry: string
+  atMs: number
+  endsAtMs: number
+}
+
 interface Share {
   bucket: tokenBucket.TokenBucket
   /** Permits granted within the window. */
-  grantedAtMs: number[]
+  granted: GrantedPermit[]
   /** Requests that were sent without one within the window. */
   sentAtMs: number[]
 }
@@ -63,6 +71,10 @@
 const LIFETIME_SHARE = 0.5
 const MIN_LIFETIME_MS = 400
 const MAX_LIFETIME_MS = 2_000
+/** An entry without waiting calls gets permits for this multiple of the calls that it is likely to have meanwhile. */
+const STOCK_FACTOR = 4
+/** Permits that such an entry may hold at any rate, for calls that come together. */
+const MIN_STOCK = 8
 
 export function createShares (): LimitShares {
   return { demands: new Map(), shares: new Map() }
@@ -103,11 +115,13 @@
     const rate = Math.max(MIN_PER_SECOND, perSecond) * rateShare
     const share = shareOf(shares, instance, nowMs)
     tokenBucket.refill(share.bucket, rate, Math.max(1, rate * BURST_S), nowMs)
+    const held = countHeld(share, nowMs)
     while (share.bucket.tokens >= 1 && usedInWindow(share, rate) < maxInWindow(rate)) {
-      const entry = nextEntry(shares, nowMs, random)
+      const entry = nextEntry(shares, held, lifetimeMs(rate), nowMs, random)
       if (entry === undefined) break
       share.bucket.tokens -= 1
-      share.grantedAtMs.push(nowMs)
+      share.granted.push({ entry, atMs: nowMs, endsAtMs: nowMs + lifetimeMs(rate) })
+      held.set(entry, (held.get(entry) ?? 0) + 1)
       grants.push({ entry, instance, lifetimeMs: lifetimeMs(rate) })
     }
   }
@@ -124,19 +138,35 @@
  */
 function usedInWindow (share: Share, perSecond: number): number {
   const maxEarlier = Math.floor(MAX_EARLIER_SHARE * maxInWindow(perSecond))
-  return share.grantedAtMs.length + Math.min(maxEarlier, share.sentAtMs.length)
+  return share.granted.length + Math.min(maxEarlier, share.sentAtMs.length)
 }
 
 function lifetimeMs (perSecond: number): number {
   return Math.min(MAX_LIFETIME_MS, Math.max(MIN_LIFETIME_MS, LIFETIME_SHARE * 1_000 / perSecond))
 }
 
-/** An entry at which a call waits, or else one that is likely to have a call soon. */
-function nextEntry (shares: LimitShares, nowMs: number, random: () => number): string | undefined {
+/** Permits of each entry that have not ended, used or not. */
+function countHeld (share: Share, nowMs: number): Map<string, number> {
+  const held = new Map<string, number>()
+  for (const { entry, endsAtMs } of share.granted) {
+    if (endsAtMs > nowMs) held.set(entry, (held.get(entry) ?? 0) + 1)
+  }
+  return held
+}
+
+/** An entry at which a call waits, or else one that is likely to have a call soon and holds too few permits for it. */
+function nextEntry (
+  shares: LimitShares, held: ReadonlyMap<string, number>, lifeMs: number, nowMs: number, random: () => number
+): string | undefined {
   const entries = [...shares.demands]
   const waiting = pickWeighted(entries, ([, demand]) => waitingOf(demand, nowMs), random)
-  if (waiting !== undefined) waiting[1].waiting -= 1
-  return (waiting ?? pickWeighted(entries, ([, demand]) => demand.perSecond, random))?.[0]
+  if (waiting !== undefined) {
+    waiting[1].waiting -= 1
+    return waiting[0]
+  }
+  const short = entries.filter(([entry, { perSecond }]) =>
+    (held.get(entry) ?? 0) < Math.max(MIN_STOCK, STOCK_FACTOR * perSecond * lifeMs / 1_000))
+  return pickWeighted(short, ([, demand]) => demand.perSecond, random)?.[0]
 }
 
 function waitingOf (demand: HeardDemand, nowMs: number): number {
@@ -163,7 +193,7 @@
   const keys = new Set(limited.map(({ instance }) => backendInstance.keyOf(instance)))
   for (const [key, share] of shares.shares) {
     const fromMs = nowMs - backendLimits.WINDOW_MS
-    share.grantedAtMs = share.grantedAtMs.filter(atMs => atMs > fromMs)
+    share.granted = share.granted.filter(({ atMs }) => atMs > fromMs)
     share.sentAtMs = share.sentAtMs.filter(atMs => atMs > fromMs)
     if (!keys.has(key)) shares.shares.delete(key)
   }
@@ -174,7 +204,7 @@
   const key = backendInstance.keyOf(instance)
   let share = shares.shares.get(key)
   if (share === undefined) {
-    share = { bucket: { tokens: 0, refilledAtMs: nowMs }, grantedAtMs: [], sentAtMs: [] }
+    share = { bucket: { tokens: 0, refilledAtMs: nowMs }, granted: [], sentAtMs: [] }
     shares.shares.set(key, share)
   }
   return share
