--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -8,13 +8,14 @@
 import * as routingTable from '../../state/routing-table.js'
 import * as serviceTimes from '../../state/service-times.js'
 import * as streamPace from '../../state/stream-pace.js'
-import * as callModule from './call.js'
+import * as callTimes from './call-times.js'
 import * as callEnd from './call-end.js'
 import * as callHistory from './call-history.js'
 import * as retries from './retries.js'
 import * as runningAttempts from './running-attempts.js'
 import * as shutdown from './shutdown.js'
 import * as streamAttempt from './stream-attempt.js'
+import type * as callModule from './call.js'
 import type * as context from './context.js'
 import type * as replies from './reply.js'
 
@@ -44,10 +45,10 @@
   const history = callHistory.createHistory(call.head.lastEventId)
   const running = new runningAttempts.RunningAttempts(ctx, call)
   const tokens = call.head.promptTokens +
-    (call.engine === undefined ? 0 : callModule.expectedOutputTokens(call.head, call.engine))
+    (call.engine === undefined ? 0 : callTimes.expectedOutputTokens(call.head, call.engine))
   try {
     await offerUntilDone({
-      ctx, call, history, running, reply, tokens, serviceMs: callModule.expectedServiceMs(call)
+      ctx, call, history, running, reply, tokens, serviceMs: callTimes.expectedServiceMs(call)
     })
   } finally {
     running.stop()
@@ -170,7 +171,7 @@
   history.timing ??= serviceTimes.noteStarted(ctx.shutdown.times, call.route.name, serviceMs, ctx.nowMs())
   if (call.engine !== undefined && call.route.isStream) {
     history.stream ??= streamPace.noteStarted(
-      ctx.shutdown.paces, call.service, callModule.statedIntervalMs(call.engine), history.progress
+      ctx.shutdown.paces, call.service, callTimes.statedIntervalMs(call.engine), history.progress
     )
   }
   running.start(backend, { tokens, progress: history.progress, tried })
--- a/src/coordination/gateway/shutdown.ts
+++ b/src/coordination/gateway/shutdown.ts
@@ -8,7 +8,7 @@
 import * as shutdownWindow from '../../state/shutdown-window.js'
 import * as streamPace from '../../state/stream-pace.js'
 import * as waitQueue from '../../state/wait-queue.js'
-import * as callModule from './call.js'
+import * as callTimes from './call-times.js'
 import type * as http from 'node:http'
 import type * as arrivalsModule from '../../transport/arrivals.js'
 import type * as runtime from '../runtime.js'
@@ -25,7 +25,10 @@
   arrivals: arrivalsModule.Arrivals
 }
 
-type StoppableCall = Pick<callModule.Call, 'route' | 'service' | 'engine' | 'head' | 'deadlineAtMs'>
+interface StoppableCall extends callTimes.TimedCall {
+  service: string
+  deadlineAtMs: number
+}
 
 /** Why the handling of a request was aborted; the reason of its signal. */
 export type AbortCause = 'client' | 'shutdown'
@@ -116,14 +119,14 @@
   }
 
   #usualMs (call: StoppableCall, minSamples?: number): number {
-    const expectedMs = callModule.expectedServiceMs(call)
+    const expectedMs = callTimes.expectedServiceMs(call)
     return serviceTimes.neededMs(this.times, call.route.name, expectedMs, this.#options.runtime.nowMs(), minSamples)
   }
 
   #statedLongestMs (call: StoppableCall): number | undefined {
     const { firstResponseMs, runtime: { nowMs } } = this.#options
     const pace = streamPace.paceOf(this.paces, call.service, nowMs())
-    return callModule.longestServiceMs(call, pace, firstResponseMs(call.service) * FIRST_RESPONSE_SPREAD)
+    return callTimes.longestServiceMs(call, pace, firstResponseMs(call.service) * FIRST_RESPONSE_SPREAD)
   }
 
   /** Called when a stream that has begun is overdue. */
--- a/src/state/stray-holds.ts
+++ b/src/state/stray-holds.ts
@@ -8,21 +8,21 @@
 
 import * as switchOrders from './switch-orders.js'
 import type * as rankState from './rank-state.js'
-import type * as rankSwitch from './rank-switch.js'
+import type * as switchState from './switch-state.js'
 
 /** A hold that the switch does not wait for. */
 export interface StrayHold {
   rank: number
   step: number
   /** Phase in which it was found. */
-  phase: rankSwitch.SwitchPhase['kind']
+  phase: switchState.SwitchPhase['kind']
   /** Age of the reading that shows it. */
   ageMs: number
 }
 
 /** @returns the holds that no phase waits for and that the last advance had not found. */
 export function noteStrayHolds (
-  state: rankSwitch.SwitchState, known: readonly rankState.RankState[], nowMs: number
+  state: switchState.SwitchState, known: readonly rankState.RankState[], nowMs: number
 ): StrayHold[] {
   const { kind: phase } = state.phase
   const found = new Map(strayHoldsOf(state, known).map(rank => {
@@ -35,7 +35,7 @@
 }
 
 /** Ranks with a hold that the phase does not wait for, as far as they were read since it began. */
-function strayHoldsOf (state: rankSwitch.SwitchState, known: readonly rankState.RankState[]): rankState.RankState[] {
+function strayHoldsOf (state: switchState.SwitchState, known: readonly rankState.RankState[]): rankState.RankState[] {
   const { phase } = state
   const holder = 'holder' in phase ? phase.holder : undefined
   return known.filter(rank => rank.heldStep !== undefined && rank.rank !== holder && rank.readAtMs > phase.sinceMs)
@@ -46,7 +46,7 @@
  * pass, or the holder stops the group until they are.
  */
 export function endStrayHolds (
-  state: rankSwitch.SwitchState, known: readonly rankState.RankState[], nowMs: number
+  state: switchState.SwitchState, known: readonly rankState.RankState[], nowMs: number
 ): switchOrders.AddressedOrder[] {
   return strayHoldsOf(state, known)
     .filter(({ rank }) => switchOrders.isDue(state.strayGoAtMs, rank, switchOrders.REPEAT_ORDER_MS, nowMs))
