--- a/src/coordination/gateway/offer-call.ts
+++ b/src/coordination/gateway/offer-call.ts
@@ -96,7 +96,8 @@
   const signal = running.searchSignal()
   const candidate = { ...call, signal }
   for (;;) {
-    const entered = await ctx.suspects.enter(candidate, () => latestStartMs(offer))
+    const latestMs = latestStartMs(offer)
+    const entered = await ctx.suspects.enter(candidate, () => Math.min(latestMs, latestStartInShutdownMs(offer)))
     if (entered !== 'open') {
       return { kind: 'none', endCall: () => { callEnd.endSuspected(call, history, reply, entered) } }
     }
