Unused permits of instances that are gone are forgotten

An instance that has ended or whose limit has left its count behind for good; each start of a server is a new instance.

Change: the count goes when the record of the limit does, ten minutes after, and permits without a record are not counted.

--- a/src/state/__tests__/backend-limits.spec.ts
+++ b/src/state/__tests__/backend-limits.spec.ts
@@ -61,9 +61,22 @@
 // Guards against permits that are counted as used because they ended shortly before another one was used.
 test('permits that end unused are counted once', () => {
   const limits = backendLimits.createLimits()
+  backendLimits.noteStated(limits, instance, { kind: 'limit', perSecond: 2 }, 0, 0)
   for (const endMs of [100, 120, 300]) backendLimits.addPermit(limits, instance, endMs)
   backendLimits.takePermit(limits, instance, 150)
   expect(backendLimits.expire(limits, () => true, 400)).toBe(2)
   expect(backendLimits.takeUnused(limits, instance)).toBe(2)
   expect(backendLimits.takeUnused(limits, instance)).toBe(0)
 })
+
+// Guards against memory that is never given back for instances that are gone.
+test('unused permits of instances that are forgotten are forgotten, too', () => {
+  const limits = backendLimits.createLimits()
+  backendLimits.noteStated(limits, instance, { kind: 'limit', perSecond: 2 }, 0, 0)
+  backendLimits.addPermit(limits, instance, 100)
+  backendLimits.expire(limits, () => false, 200)
+  backendLimits.expire(limits, () => false, 700_000)
+  backendLimits.addPermit(limits, instance, 700_100)
+  backendLimits.expire(limits, () => false, 700_200)
+  expect(limits.unused.size).toBe(0)
+})
--- a/src/state/backend-limits.ts
+++ b/src/state/backend-limits.ts
@@ -83,12 +83,16 @@
   let expired = 0
   for (const [key, record] of limits.records) {
     if (nowMs - record.notedAtMs <= RECORD_RETENTION_MS) continue
-    if (record.perSecond === undefined || !isListed(key)) limits.records.delete(key)
+    if (record.perSecond !== undefined && isListed(key)) continue
+    limits.records.delete(key)
+    limits.unused.delete(key)
   }
   for (const [key, ends] of limits.permits) {
     const left = ends.filter(endMs => endMs > nowMs)
     expired += ends.length - left.length
-    if (left.length < ends.length) limits.unused.set(key, (limits.unused.get(key) ?? 0) + ends.length - left.length)
+    if (left.length < ends.length && limits.records.has(key)) {
+      limits.unused.set(key, (limits.unused.get(key) ?? 0) + ends.length - left.length)
+    }
     if (left.length === 0) limits.permits.delete(key)
     else limits.permits.set(key, left)
   }
