--- a/src/state/__tests__/limit-shares.spec.ts
+++ b/src/state/__tests__/limit-shares.spec.ts
@@ -90,7 +90,7 @@
   limitShares.noteUnused(shares, 'idle', instance, 2, 1_900)
   limitShares.noteDemand(shares, 'idle', { waiting: 0, perSecond: 0 }, 1_900)
   limitShares.noteDemand(shares, 'busy', { waiting: 9, perSecond: 1 }, 1_900)
-  // Two are back; the window of 4 s has room for seven of eight.
+  // The two that are back; the next one of the limit is due at 2 s.
   expect(grantsIn(shares, 2, 1_900, 1_950).get('busy')).toBe(2)
 })
 
